--- /dev/null
+++ b/src/agatethread/cli/__init__.py
@@ -0,0 +1,6 @@
+"""The daemon's and the operators' commands."""
+
+from agatethread.cli._ctl import run_ctl
+from agatethread.cli._daemon import run_daemon
+
+__all__ = ["run_ctl", "run_daemon"]
--- /dev/null
+++ b/src/agatethread/cli/_ctl.py
@@ -0,0 +1,275 @@
+"""``agatethreadctl``: the operators' command."""
+
+import argparse
+import asyncio
+import json
+import sys
+import uuid
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from agatethread import __version__
+from agatethread.cli._calls import (
+    ControlTarget,
+    apply_command,
+    dump_instance,
+    get_document,
+    wait_in_force,
+)
+from agatethread.cli._calls import all_statuses as read_statuses
+from agatethread.exceptions import (
+    AgatethreadError,
+    DocumentError,
+    FieldError,
+    SettingsError,
+    VersionConflictError,
+)
+from agatethread.settings import (
+    TlsSettings,
+    load_settings,
+    parse_document,
+)
+from agatethread.wire.control_pb2 import Command, PutDocument, SetDrain
+
+EXIT_DONE, EXIT_REFUSED, EXIT_USAGE = 0, 1, 2
+
+Handler = Callable[[argparse.Namespace, ControlTarget], Awaitable[int]]
+
+
+def _print(options: argparse.Namespace, data: dict, text: str) -> None:
+    print(json.dumps(data, indent=2) if options.json else text)
+
+
+async def _apply(options: argparse.Namespace, target: ControlTarget) -> int:
+    text = Path(options.file).read_text(encoding="utf-8")
+    document = parse_document(options.file, text)
+    change_id = options.change_id or str(uuid.uuid4())
+    put = PutDocument(
+        service=document.service, version=document.version, text=text.encode()
+    )
+    outcome = await apply_command(
+        target, Command(put_document=put, change_id=change_id)
+    )
+    data = {
+        "service": document.service,
+        "version": document.version,
+        "index": outcome.index,
+        "change_id": change_id,
+    }
+    _print(options, data, f"accepted {document.service} version {document.version}")
+    if options.wait_s:
+        return await _wait(options, target, outcome.index)
+    return EXIT_DONE
+
+
+async def _wait(options: argparse.Namespace, target: ControlTarget, index: int) -> int:
+    elapsed_s, laggards = await wait_in_force(target, index, options.wait_s)
+    data = {"in_force_s": elapsed_s, "laggards": laggards}
+    if laggards:
+        lines = "\n".join(f"  {row['instance']}: {row['why']}" for row in laggards)
+        _print(options, data, f"not in force after {elapsed_s:.3f} s at:\n{lines}")
+        return EXIT_REFUSED
+    _print(options, data, f"in force everywhere after {elapsed_s:.3f} s")
+    return EXIT_DONE
+
+
+async def _get(options: argparse.Namespace, target: ControlTarget) -> int:
+    record = await get_document(target, options.service)
+    data = {
+        "service": record.service,
+        "version": record.version,
+        "index": record.index,
+        "change_id": record.change_id,
+        "text": record.text.decode(),
+    }
+    _print(options, data, record.text.decode())
+    return EXIT_DONE
+
+
+async def _status(options: argparse.Namespace, target: ControlTarget) -> int:
+    statuses = await read_statuses(target)
+    newest = max(status.last_change_index for status in statuses)
+    if options.wait_s:
+        return await _wait(options, target, newest)
+
+    control = [
+        {
+            "instance": status.instance,
+            "role": status.role,
+            "term": status.term,
+            "commit_index": status.commit_index,
+        }
+        for status in statuses
+    ]
+    entry = {}
+    for status in statuses:
+        for watcher in status.watchers:
+            row = {
+                "instance": watcher.instance,
+                "failure_domain": watcher.failure_domain,
+                "applied_index": watcher.applied_index,
+                "connected": watcher.connected,
+                "admin": watcher.admin,
+            }
+            if watcher.connected or watcher.instance not in entry:
+                entry[watcher.instance] = row
+    services = sorted({name for status in statuses for name in status.services})
+    drained = sorted({name for status in statuses for name in status.drained})
+    data = {
+        "last_change_index": newest,
+        "control": control,
+        "entry": list(entry.values()),
+        "services": services,
+        "drained": drained,
+    }
+    lines = [f"last change: {newest}"]
+    lines += [f"control {row['instance']}: {row['role']}" for row in control]
+    lines += [
+        f"entry {row['instance']}: at {row['applied_index']}"
+        + ("" if row["connected"] else ", not connected")
+        for row in entry.values()
+    ]
+    lines += [f"services: {', '.join(services)}", f"drained: {', '.join(drained)}"]
+    _print(options, data, "\n".join(lines))
+    return EXIT_DONE
+
+
+async def _drain(options: argparse.Namespace, target: ControlTarget) -> int:
+    change = SetDrain(name=options.name, draining=not options.undo)
+    command = Command(
+        set_drain=change, change_id=options.change_id or str(uuid.uuid4())
+    )
+    outcome = await apply_command(target, command)
+    word = "back in service" if options.undo else "draining"
+    data = {"name": options.name, "draining": not options.undo, "index": outcome.index}
+    _print(options, data, f"{options.name} {word}")
+    if options.wait_s:
+        return await _wait(options, target, outcome.index)
+    return EXIT_DONE
+
+
+async def _dump(options: argparse.Namespace, target: ControlTarget) -> int:
+    print(json.dumps(await dump_instance(target, options.instance), indent=2))
+    return EXIT_DONE
+
+
+async def _check(options: argparse.Namespace, target: ControlTarget) -> int:
+    text = Path(options.file).read_text(encoding="utf-8")
+    if options.document:
+        parse_document(options.file, text)
+    else:
+        load_settings(options.file)
+    _print(options, {"file": options.file, "faults": []}, f"{options.file}: no faults")
+    return EXIT_DONE
+
+
+def _add_command(
+    commands, name: str, handler: Handler, summary: str, example: str
+) -> argparse.ArgumentParser:
+    parser = commands.add_parser(
+        name,
+        help=summary,
+        description=summary,
+        epilog=f"example: agatethreadctl {example}",
+    )
+    parser.set_defaults(handler=handler)
+    return parser
+
+
+def _make_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="agatethreadctl",
+        description="Operate a fleet of agatethread instances.",
+        epilog="exit codes: 0 done, 1 refused, 2 usage",
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument(
+        "--control",
+        default="",
+        metavar="ADDRESS[,ADDRESS...]",
+        help="gRPC addresses of control instances",
+    )
+    parser.add_argument(
+        "--timeout-s", type=float, default=10.0, help="for each command"
+    )
+    parser.add_argument("--json", action="store_true", help="print data as JSON")
+    parser.add_argument("--plain-text", action="store_true", help="gRPC without TLS")
+    for name in ("certificate-file", "key-file", "authority-file"):
+        parser.add_argument(f"--{name}", default="", help="TLS key file")
+    commands = parser.add_subparsers(dest="command", required=True)
+
+    apply = _add_command(
+        commands, "apply", _apply, "apply a service document", "apply tab.json5"
+    )
+    apply.add_argument("file", metavar="FILE")
+    get = _add_command(commands, "get", _get, "print a service document", "get tab")
+    get.add_argument("service", metavar="SERVICE")
+    status = _add_command(
+        commands, "status", _status, "show the fleet", "status --wait-s 5"
+    )
+    drain = _add_command(
+        commands,
+        "drain",
+        _drain,
+        "give an instance or endpoint no new work",
+        "drain tab-3",
+    )
+    drain.add_argument("name", metavar="INSTANCE|ENDPOINT")
+    drain.add_argument("--undo", action="store_true", help="give it work again")
+    dump = _add_command(
+        commands, "dump", _dump, "print an instance's whole state", "dump entry-1"
+    )
+    dump.add_argument("instance", metavar="INSTANCE|ADDRESS")
+    check = _add_command(
+        commands, "check", _check, "check a settings file", "check entry-1.json5"
+    )
+    check.add_argument("file", metavar="FILE")
+    check.add_argument("--document", action="store_true", help="it is a document")
+    for command in (apply, drain):
+        command.add_argument("--change-id", default="", help="to send a change again")
+    for command in (apply, drain, status):
+        command.add_argument(
+            "--wait-s", type=float, default=0.0, help="wait until in force everywhere"
+        )
+    return parser
+
+
+def _target(options: argparse.Namespace) -> ControlTarget:
+    files = (options.certificate_file, options.key_file, options.authority_file)
+    tls = TlsSettings(*files) if all(files) else None
+    if options.command != "check":
+        if tls is None and not options.plain_text:
+            fault = FieldError("command line", "tls", "", "key files, or --plain-text")
+            raise SettingsError("command line has faults", [fault])
+        if not options.control:
+            fault = FieldError("command line", "--control", "", "an address")
+            raise SettingsError("command line has faults", [fault])
+    targets = tuple(part for part in options.control.split(",") if part)
+    return ControlTarget(targets, options.timeout_s, tls)
+
+
+def run_ctl(arguments: list[str] | None = None) -> None:
+    """Run one operators' command.
+
+    Parameters
+    ----------
+    arguments : list of str, optional
+        Command line without the program's name.
+    """
+    options = _make_parser().parse_args(arguments)
+    try:
+        code = asyncio.run(options.handler(options, _target(options)))
+    except (SettingsError, DocumentError) as error:
+        for fault in error.exceptions:
+            print(fault, file=sys.stderr)
+        code = EXIT_USAGE
+    except OSError as error:
+        print(error, file=sys.stderr)
+        code = EXIT_USAGE
+    except VersionConflictError as error:
+        print(f"conflict: {error}", file=sys.stderr)
+        code = EXIT_REFUSED
+    except AgatethreadError as error:
+        print(error, file=sys.stderr)
+        code = EXIT_REFUSED
+    sys.exit(code)
--- /dev/null
+++ b/src/agatethread/client/_client.py
@@ -0,0 +1,321 @@
+"""One socket of a caller, with its streams and requests."""
+
+import asyncio
+import secrets
+from collections import defaultdict
+
+from agatethread.client._stream import Stream
+from agatethread.exceptions import (
+    DatagramError,
+    OperationRefusedError,
+    OperationUnknownError,
+    PayloadTooLargeError,
+    UnavailableError,
+)
+from agatethread.settings import parse_address
+from agatethread.wire import (
+    MAX_PAYLOAD_BYTES,
+    Envelope,
+    Kind,
+    Reason,
+    decode_envelope,
+)
+
+_NONCE_BYTES = 16
+_RESEND_S = 0.2
+#: Resend interval once an instance has said that it works on the request.
+_ACCEPTED_RESEND_S = 0.5
+_HELLO_TIMEOUT_S = 3.0
+_VERDICTS = frozenset((Kind.ANSWER, Kind.REFUSED, Kind.UNKNOWN))
+
+
+class _Waiting:
+    """A request in progress."""
+
+    def __init__(self) -> None:
+        self.verdict = asyncio.get_running_loop().create_future()
+        self.accepted = asyncio.Event()
+
+
+class Client(asyncio.DatagramProtocol):
+    """Streams and requests to the services behind some addresses.
+
+    Parameters
+    ----------
+    addresses : dict of str to str
+        ``IP:port`` of each service.
+    partner : str, default=""
+        Whose requests these are; partners share a service equally.
+    """
+
+    def __init__(self, addresses: dict[str, str], partner: str = ""):
+        self._addresses = {
+            service: parse_address(address) for service, address in addresses.items()
+        }
+        self._partner = partner
+        self._transport: asyncio.DatagramTransport | None = None
+        self._streams: dict[int, Stream] = {}
+        self._requests: dict[bytes, _Waiting] = {}
+        self._tokens: dict[str, bytes] = {}
+        self._welcomes: dict[str, asyncio.Event] = defaultdict(asyncio.Event)
+        self._tasks: set[asyncio.Task] = set()
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Keep the transport.
+
+        Parameters
+        ----------
+        transport : asyncio.DatagramTransport
+            The socket's transport.
+        """
+        self._transport = transport
+
+    def error_received(self, exc: OSError) -> None:
+        """Ignore a datagram that could not be delivered: all are sent again.
+
+        Parameters
+        ----------
+        exc : OSError
+            What the kernel said.
+        """
+
+    def close(self) -> None:
+        """Close every stream and the socket."""
+        for stream in list(self._streams.values()):
+            stream.close()
+        for task in self._tasks:
+            task.cancel()
+        self._transport.close()
+
+    def _send(self, envelope: Envelope) -> None:
+        target = self._addresses[envelope.service]
+        self._transport.sendto(envelope.SerializeToString(), target)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Hand a datagram to its stream or request.
+
+        Parameters
+        ----------
+        data : bytes
+            The datagram.
+        addr : tuple of (str, int)
+            Its source.
+        """
+        try:
+            envelope = decode_envelope(data)
+        except DatagramError:
+            return
+
+        if envelope.operation_id:
+            self._on_operation(envelope)
+        elif envelope.kind == Kind.WELCOME:
+            self._tokens[envelope.service] = envelope.token
+            self._welcomes[envelope.service].set()
+        elif envelope.flow_id in self._streams:
+            self._streams[envelope.flow_id].on_envelope(envelope)
+        elif envelope.kind == Kind.OPENED and envelope.service in self._addresses:
+            self._close_orphan(envelope)
+
+    def _close_orphan(self, envelope: Envelope) -> None:
+        close = Envelope(
+            kind=Kind.CLOSE,
+            service=envelope.service,
+            flow_id=envelope.flow_id,
+            cookie=envelope.cookie,
+        )
+        self._send(close)
+
+    def _on_operation(self, envelope: Envelope) -> None:
+        waiting = self._requests.get(envelope.operation_id)
+        if waiting is None:
+            return
+        if envelope.kind == Kind.ACCEPTED:
+            waiting.accepted.set()
+        elif envelope.kind in _VERDICTS and not waiting.verdict.done():
+            waiting.verdict.set_result(envelope)
+
+    async def open_stream(
+        self, service: str, payload: bytes = b"", timeout_s: float = 10.0
+    ) -> Stream:
+        """Open a flow that stays until one side closes it.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        payload : bytes, default=b""
+            Passed to the backend server.
+        timeout_s : float, default=10.0
+            Longest time to try.
+
+        Returns
+        -------
+        Stream
+            The open flow.
+
+        Raises
+        ------
+        OperationRefusedError
+            If there is no place for it now.
+        FlowBrokenError
+            If nobody answered in time.
+        """
+        stream = Stream(service, secrets.randbits(63) | 1, self._send)
+        self._streams[stream.flow_id] = stream
+        try:
+            await stream.open(payload, timeout_s)
+        except BaseException:
+            del self._streams[stream.flow_id]
+            raise
+        self._start(self._keep_stream(stream))
+        return stream
+
+    async def _keep_stream(self, stream: Stream) -> None:
+        await stream.keep_alive()
+        self._streams.pop(stream.flow_id, None)
+
+    def _start(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def request(
+        self,
+        service: str,
+        payload: bytes,
+        *,
+        idempotent: bool,
+        timeout_s: float = 10.0,
+    ) -> bytes:
+        """Have a request run, and return its whole answer.
+
+        A request that was refused because the instance that would decide it has
+        changed did not run, and is sent anew at once within the timeout.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        payload : bytes
+            The request.
+        idempotent : bool
+            Whether it may run more than once.
+        timeout_s : float, default=10.0
+            Time until the deadline.
+
+        Returns
+        -------
+        bytes
+            The answer.
+
+        Raises
+        ------
+        OperationRefusedError
+            If it did not run; says when to come back.
+        OperationUnknownError
+            If nobody knows whether it ran.
+        PayloadTooLargeError
+            If it does not fit in a datagram.
+        UnavailableError
+            If no instance could be reached; it was not sent.
+        """
+        if len(payload) > MAX_PAYLOAD_BYTES:
+            raise PayloadTooLargeError(f"{len(payload)} bytes")
+
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        while True:
+            token = await self._token(service)
+            request = Envelope(
+                kind=Kind.REQUEST,
+                service=service,
+                operation_id=token + secrets.token_bytes(_NONCE_BYTES),
+                idempotent=idempotent,
+                payload=payload,
+                partner=self._partner,
+            )
+            verdict = await self._run(request, deadline_s)
+            if verdict.token:
+                self._tokens[service] = verdict.token
+            if verdict.kind == Kind.ANSWER:
+                return verdict.payload
+            if verdict.kind == Kind.UNKNOWN:
+                raise OperationUnknownError(Reason.Name(verdict.reason))
+            await self._come_back(verdict, deadline_s)
+
+    async def _come_back(self, verdict: Envelope, deadline_s: float) -> None:
+        retry_after_s = verdict.retry_after_ms / 1000
+        again_s = asyncio.get_running_loop().time() + retry_after_s
+        if verdict.reason != Reason.MOVED or again_s >= deadline_s:
+            raise OperationRefusedError(Reason.Name(verdict.reason), retry_after_s)
+        await asyncio.sleep(retry_after_s)
+
+    async def _run(self, request: Envelope, deadline_s: float) -> Envelope:
+        waiting = _Waiting()
+        self._requests[request.operation_id] = waiting
+        try:
+            return await self._resend_until_verdict(request, waiting, deadline_s)
+        except asyncio.CancelledError:
+            self._cancel(request)
+            raise
+        finally:
+            del self._requests[request.operation_id]
+
+    async def _resend_until_verdict(
+        self, request: Envelope, waiting: _Waiting, deadline_s: float
+    ) -> Envelope:
+        loop = asyncio.get_running_loop()
+        while (remaining_s := deadline_s - loop.time()) > 0:
+            request.deadline_ms = max(1, round(remaining_s * 1000))
+            self._send(request)
+            accepted = waiting.accepted.is_set()
+            interval_s = _ACCEPTED_RESEND_S if accepted else _RESEND_S
+            wait_s = min(interval_s, remaining_s)
+            done, _ = await asyncio.wait([waiting.verdict], timeout=wait_s)
+            if done:
+                return waiting.verdict.result()
+        self._tokens.pop(request.service, None)
+        return Envelope(kind=Kind.UNKNOWN, reason=Reason.DEADLINE)
+
+    def _cancel(self, request: Envelope) -> None:
+        cancel = Envelope(
+            kind=Kind.CANCEL,
+            service=request.service,
+            operation_id=request.operation_id,
+        )
+        self._send(cancel)
+
+    async def _token(self, service: str) -> bytes:
+        welcomed = self._welcomes[service]
+        for _ in range(round(_HELLO_TIMEOUT_S / _RESEND_S)):
+            token = self._tokens.get(service)
+            if token:
+                return token
+            welcomed.clear()
+            self._send(Envelope(kind=Kind.HELLO, service=service))
+            try:
+                await asyncio.wait_for(welcomed.wait(), _RESEND_S)
+            except TimeoutError:
+                continue
+        raise UnavailableError(f"no instance answers for {service}")
+
+
+async def connect(addresses: dict[str, str], partner: str = "") -> Client:
+    """Make a client with a socket of its own.
+
+    Parameters
+    ----------
+    addresses : dict of str to str
+        ``IP:port`` of each service.
+    partner : str, default=""
+        Whose requests these are.
+
+    Returns
+    -------
+    Client
+        Ready to use.
+    """
+    loop = asyncio.get_running_loop()
+    _, client = await loop.create_datagram_endpoint(
+        lambda: Client(addresses, partner), local_addr=("0.0.0.0", 0)
+    )
+    return client
--- /dev/null
+++ b/src/agatethread/control/_instance.py
@@ -0,0 +1,230 @@
+"""A control instance: its log, its watchers and the operators' calls."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import grpc
+from mode import Service
+
+from agatethread.control._peers import connect_peer
+from agatethread.control._raft import RaftNode
+from agatethread.control._state import check_command
+from agatethread.control._storage import LogStorage
+from agatethread.control._watchers import WatchHub
+from agatethread.exceptions import DiskFullError, NotLeaderError
+from agatethread.observability import Counters
+from agatethread.settings import Settings
+from agatethread.timing import TimerService
+from agatethread.wire import control_pb2_grpc
+from agatethread.wire.control_pb2 import (
+    AppendReply,
+    AppendRequest,
+    ApplyRequest,
+    Command,
+    DocumentRecord,
+    GetRequest,
+    Outcome,
+    SnapshotRequest,
+    StatusReply,
+    StatusRequest,
+    VoteReply,
+    VoteRequest,
+    WatchRequest,
+    WatchUpdate,
+)
+
+_MOST_ROWS = 500
+
+
+class _Replication(control_pb2_grpc.ReplicationServicer):
+    def __init__(self, node: RaftNode):
+        self._node = node
+
+    async def Vote(  # noqa: N802
+        self, request: VoteRequest, context: grpc.aio.ServicerContext
+    ) -> VoteReply:
+        return self._node.on_vote(request)
+
+    async def Append(  # noqa: N802
+        self, request: AppendRequest, context: grpc.aio.ServicerContext
+    ) -> AppendReply:
+        return self._node.on_append(request)
+
+    async def InstallSnapshot(  # noqa: N802
+        self, request: SnapshotRequest, context: grpc.aio.ServicerContext
+    ) -> AppendReply:
+        return self._node.on_snapshot(request)
+
+
+class _Control(control_pb2_grpc.ControlServicer):
+    def __init__(self, instance: "ControlInstance"):
+        self._instance = instance
+
+    async def Apply(  # noqa: N802
+        self, request: ApplyRequest, context: grpc.aio.ServicerContext
+    ) -> Outcome:
+        try:
+            return await self._instance.apply(request.command)
+        except NotLeaderError as error:
+            target = self._instance.address_of(error.leader)
+            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, target)
+        except DiskFullError as error:
+            return Outcome(accepted=False, error=f"disk: {error}")
+
+    async def Get(  # noqa: N802
+        self, request: GetRequest, context: grpc.aio.ServicerContext
+    ) -> DocumentRecord:
+        record = self._instance.node.documents.documents.get(request.service)
+        if record is None:
+            await context.abort(grpc.StatusCode.NOT_FOUND, request.service)
+        return record
+
+    async def Status(  # noqa: N802
+        self, request: StatusRequest, context: grpc.aio.ServicerContext
+    ) -> StatusReply:
+        return self._instance.status()
+
+    async def Watch(  # noqa: N802
+        self,
+        request_iterator: AsyncIterator[WatchRequest],
+        context: grpc.aio.ServicerContext,
+    ) -> AsyncIterator[WatchUpdate]:
+        async for update in self._instance.hub.serve(request_iterator, context):
+            yield update
+
+
+class ControlInstance(Service):
+    """Keeps the documents, agreed among the control instances and synced.
+
+    Parameters
+    ----------
+    settings : Settings
+        With the settings of the control role.
+    counters : Counters
+        The process's counters.
+    """
+
+    def __init__(self, settings: Settings, counters: Counters):
+        super().__init__()
+        self.settings = settings
+        self._counters = counters
+        control = settings.control
+        peers = {
+            name: connect_peer(settings, target, control.election_timeout_s)
+            for name, target in control.members.items()
+            if name != settings.name
+        }
+        storage = LogStorage(control.data_dir)
+        self.node = self.add_dependency(
+            RaftNode(settings.name, control, storage, peers, TimerService.now_s)
+        )
+        self._storage = storage
+        self.hub = WatchHub(self.node.documents)
+        self.node.subscribe(self.hub.wake)
+
+    def register(self, server: grpc.aio.Server) -> None:
+        """Add this role's services to the process's server.
+
+        Parameters
+        ----------
+        server : grpc.aio.Server
+            The server.
+        """
+        replication, control = _Replication(self.node), _Control(self)
+        control_pb2_grpc.add_ReplicationServicer_to_server(replication, server)
+        control_pb2_grpc.add_ControlServicer_to_server(control, server)
+
+    async def apply(self, data: bytes) -> Outcome:
+        """Check a change and have it agreed.
+
+        Parameters
+        ----------
+        data : bytes
+            A serialized `Command`.
+
+        Returns
+        -------
+        Outcome
+            Accepted, or why not.
+
+        Raises
+        ------
+        NotLeaderError, DiskFullError
+            As `RaftNode.propose`.
+        """
+        command = Command.FromString(data)
+        fault = check_command(command)
+        if fault:
+            return Outcome(accepted=False, error=fault)
+        outcome = await self.node.propose(data)
+        self._counters["change_accepted" if outcome.accepted else "change_refused"] += 1
+        return outcome
+
+    def address_of(self, member: str) -> str:
+        """Find a control instance's address.
+
+        Parameters
+        ----------
+        member : str
+            Its name.
+
+        Returns
+        -------
+        str
+            ``IP:port``, or an empty string.
+        """
+        return self.settings.control.members.get(member, "")
+
+    def status(self) -> StatusReply:
+        """Tell what this instance knows.
+
+        Returns
+        -------
+        StatusReply
+            Its place in the log and its watchers.
+        """
+        node = self.node
+        return StatusReply(
+            instance=node.name,
+            role=node.role.value,
+            term=node.term,
+            leader=node.leader,
+            commit_index=node.commit_index,
+            last_change_index=node.documents.change_index,
+            watchers=self.hub.statuses(),
+            drained=sorted(node.documents.drained),
+            services=sorted(node.documents.documents),
+            log_bytes=self._storage.size_bytes,
+        )
+
+    def dump(self) -> dict[str, Any]:
+        """Give the instance's whole state, bounded in size.
+
+        Returns
+        -------
+        dict
+            Ready for JSON.
+        """
+        node = self.node
+        documents = list(node.documents.documents.values())
+        return {
+            "role": node.role.value,
+            "term": node.term,
+            "leader": node.leader,
+            "commit_index": node.commit_index,
+            "last_index": node.last_index,
+            "log_bytes": self._storage.size_bytes,
+            "documents_total": len(documents),
+            "documents": {
+                record.service: record.version for record in documents[:_MOST_ROWS]
+            },
+            "drained": sorted(node.documents.drained)[:_MOST_ROWS],
+            "watchers": [
+                {
+                    "instance": watcher.instance,
+                    "applied_index": watcher.applied_index,
+                    "connected": watcher.connected,
+                }
+                for watcher in self.hub.statuses()[:_MOST_ROWS]
+            ],
+        }
--- /dev/null
+++ b/src/agatethread/control/_raft.py
@@ -0,0 +1,550 @@
+"""Replicated log after Raft (Ongaro and Ousterhout, USENIX ATC 2014).
+
+Pre-vote and check-quorum are from Ongaro's dissertation (2014), sections 9.6 and 6.2.
+"""
+
+import asyncio
+import enum
+import random
+from collections.abc import Awaitable, Callable
+
+from mode import Service
+
+from agatethread.control._state import DocumentState
+from agatethread.control._storage import LogStorage
+from agatethread.exceptions import NotLeaderError, UnavailableError
+from agatethread.observability import make_logger
+from agatethread.settings import ControlSettings
+from agatethread.wire.control_pb2 import (
+    AppendReply,
+    AppendRequest,
+    ControlState,
+    HardState,
+    LogEntry,
+    Outcome,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+
+_MOST_ENTRIES_IN_APPEND = 256
+_ELECTION_POLL_S = 0.02
+
+log = make_logger("raft")
+
+
+class Role(enum.Enum):
+    """What an instance is in its term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class PeerCalls:
+    """Calls to one other control instance.
+
+    Parameters
+    ----------
+    vote, append, install_snapshot : callable
+        Send the request and return the reply; raise `UnavailableError`.
+    """
+
+    def __init__(
+        self,
+        vote: Callable[[VoteRequest], Awaitable[VoteReply]],
+        append: Callable[[AppendRequest], Awaitable[AppendReply]],
+        install_snapshot: Callable[[SnapshotRequest], Awaitable[AppendReply]],
+    ):
+        self.vote = vote
+        self.append = append
+        self.install_snapshot = install_snapshot
+
+
+class RaftNode(Service):
+    """One member of the log.
+
+    Parameters
+    ----------
+    name : str
+        This member.
+    settings : ControlSettings
+        Timing and snapshot threshold.
+    storage : LogStorage
+        Its disk.
+    peers : dict of str to PeerCalls
+        The other members.
+    now_s : callable
+        Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        settings: ControlSettings,
+        storage: LogStorage,
+        peers: dict[str, PeerCalls],
+        now_s: Callable[[], float],
+    ):
+        super().__init__()
+        self.name = name
+        self._settings = settings
+        self._storage = storage
+        self._peers = peers
+        self._now_s = now_s
+        self._random = random.Random()
+        self.documents = DocumentState()
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self._recover()
+        self._heard_leader_s = now_s()
+        self._timeout_s = self._draw_timeout_s()
+        self._next: dict[str, int] = {}
+        self._match: dict[str, int] = {}
+        self._answered_s: dict[str, float] = {}
+        self._wake: dict[str, asyncio.Event] = {}
+        self._waiting: dict[int, tuple[int, asyncio.Future[Outcome]]] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def _recover(self) -> None:
+        recovered = self._storage.recover()
+        self.term = recovered.hard_state.term
+        self._voted_for = recovered.hard_state.voted_for
+        self.documents.restore(recovered.snapshot)
+        self._snapshot = recovered.snapshot
+        self._base_index = recovered.snapshot.last_index
+        self._base_term = recovered.snapshot.last_term
+        self._entries = recovered.entries
+        self.commit_index = self._base_index
+        # An empty disk may be a lost one that has voted in a term it forgot. It may
+        # vote in a log that has never held anything; otherwise it first needs a
+        # leader's entries.
+        self._may_vote = recovered.hard_state.may_vote
+
+    # -- log ----------------------------------------------------------------------
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self._base_index + len(self._entries)
+
+    def _term_at(self, index: int) -> int:
+        if index == self._base_index:
+            return self._base_term
+        return self._entries[index - self._base_index - 1].term
+
+    def _entries_from(self, index: int) -> list[LogEntry]:
+        start = index - self._base_index - 1
+        return self._entries[start : start + _MOST_ENTRIES_IN_APPEND]
+
+    def _append(self, entries: list[LogEntry]) -> None:
+        self._storage.append(entries)
+        self._entries.extend(entries)
+
+    def _save_hard_state(self, term: int, voted_for: str) -> None:
+        hard_state = HardState(term=term, voted_for=voted_for, may_vote=self._may_vote)
+        self._storage.save_hard_state(hard_state)
+        self.term = term
+        self._voted_for = voted_for
+
+    def _allow_vote(self) -> None:
+        if not self._may_vote:
+            self._may_vote = True
+            self._save_hard_state(self.term, self._voted_for)
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Be told after committed entries have been applied.
+
+        Parameters
+        ----------
+        listener : callable
+            Called without arguments.
+        """
+        self._listeners.append(listener)
+
+    # -- elections ----------------------------------------------------------------
+
+    @property
+    def _majority(self) -> int:
+        return (len(self._peers) + 1) // 2 + 1
+
+    def _draw_timeout_s(self) -> float:
+        return self._settings.election_timeout_s * self._random.uniform(1.0, 2.0)
+
+    @Service.task
+    async def _watch_leader(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_ELECTION_POLL_S)
+            if self.role is Role.LEADER:
+                self._check_quorum()
+                continue
+            if self._now_s() - self._heard_leader_s >= self._timeout_s:
+                await self._stand()
+
+    def _check_quorum(self) -> None:
+        oldest_s = self._now_s() - 2 * self._settings.election_timeout_s
+        reached = sum(answered > oldest_s for answered in self._answered_s.values())
+        if reached + 1 < self._majority:
+            log.warning("leader lost its quorum", term=self.term)
+            self._become_follower("")
+
+    async def _stand(self) -> None:
+        started_s = self._now_s()
+        self._heard_leader_s = started_s
+        self._timeout_s = self._draw_timeout_s()
+        if not await self._collect_votes(self.term + 1, pre_vote=True):
+            return
+        if self._heard_leader_s != started_s:
+            return
+
+        self.role = Role.CANDIDATE
+        self.leader = ""
+        self._save_hard_state(self.term + 1, self.name)
+        term = self.term
+        won = await self._collect_votes(term, pre_vote=False)
+        if won and self.role is Role.CANDIDATE and self.term == term:
+            self._become_leader()
+
+    async def _collect_votes(self, term: int, pre_vote: bool) -> bool:
+        request = VoteRequest(
+            term=term,
+            candidate=self.name,
+            last_index=self.last_index,
+            last_term=self._term_at(self.last_index),
+            pre_vote=pre_vote,
+        )
+        asked = [self._ask_vote(peer, request) for peer in self._peers.values()]
+        votes = 1
+        for next_vote in asyncio.as_completed(asked):
+            votes += await next_vote
+            if votes >= self._majority:
+                return True
+        return votes >= self._majority
+
+    async def _ask_vote(self, peer: PeerCalls, request: VoteRequest) -> bool:
+        try:
+            reply = await peer.vote(request)
+        except UnavailableError:
+            return False
+        if reply.term > self.term and not reply.granted:
+            self._adopt_term(reply.term)
+        return reply.granted
+
+    def _adopt_term(self, term: int) -> None:
+        if term > self.term:
+            self._save_hard_state(term, "")
+            self._become_follower("")
+
+    def _become_follower(self, leader: str) -> None:
+        if self.role is Role.LEADER:
+            log.info("no longer leader", term=self.term)
+            self._fail_waiting()
+        self.role = Role.FOLLOWER
+        self.leader = leader
+
+    def _become_leader(self) -> None:
+        log.info("leader", term=self.term)
+        self.role = Role.LEADER
+        self.leader = self.name
+        self._allow_vote()
+        now_s = self._now_s()
+        for name in self._peers:
+            self._next[name] = self.last_index + 1
+            self._match[name] = 0
+            self._answered_s[name] = now_s
+            self._wake[name] = asyncio.Event()
+            self.add_future(self._replicate(name, self.term))
+        # An entry of its own term lets it commit those of earlier terms.
+        self._append([LogEntry(index=self.last_index + 1, term=self.term)])
+        self._advance_commit()
+
+    def on_vote(self, request: VoteRequest) -> VoteReply:
+        """Answer a candidate.
+
+        Parameters
+        ----------
+        request : VoteRequest
+            Its request.
+
+        Returns
+        -------
+        VoteReply
+            Whether it has this member's vote.
+        """
+        if request.pre_vote:
+            return VoteReply(term=self.term, granted=self._would_vote(request))
+
+        if request.term > self.term:
+            self._adopt_term(request.term)
+        granted = (
+            request.term == self.term
+            and self._voted_for in ("", request.candidate)
+            and self._is_up_to_date(request)
+            and self._can_vote_for(request)
+        )
+        if granted:
+            self._save_hard_state(self.term, request.candidate)
+            self._heard_leader_s = self._now_s()
+        return VoteReply(term=self.term, granted=granted)
+
+    def _would_vote(self, request: VoteRequest) -> bool:
+        silent_s = self._now_s() - self._heard_leader_s
+        has_leader = self.role is Role.LEADER or (
+            self.leader and silent_s < self._settings.election_timeout_s
+        )
+        return (
+            not has_leader
+            and request.term > self.term
+            and self._is_up_to_date(request)
+            and self._can_vote_for(request)
+        )
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        mine = (self._term_at(self.last_index), self.last_index)
+        return (request.last_term, request.last_index) >= mine
+
+    def _can_vote_for(self, request: VoteRequest) -> bool:
+        return self._may_vote or request.last_index == 0
+
+    # -- replication --------------------------------------------------------------
+
+    async def _replicate(self, name: str, term: int) -> None:
+        peer, wake = self._peers[name], self._wake[name]
+        while self.role is Role.LEADER and self.term == term and not self.should_stop:
+            wake.clear()
+            try:
+                more = await self._send_to(name, peer)
+            except UnavailableError:
+                more = False
+            if more:
+                continue
+            try:
+                interval_s = self._settings.heartbeat_interval_s
+                await asyncio.wait_for(wake.wait(), interval_s)
+            except TimeoutError:
+                continue
+
+    async def _send_to(self, name: str, peer: PeerCalls) -> bool:
+        """Send what a follower lacks; return whether there is more to send."""
+        term = self.term
+        if self._next[name] <= self._base_index:
+            reply = await peer.install_snapshot(self._snapshot_request())
+        else:
+            reply = await peer.append(self._append_request(self._next[name]))
+        if self.role is not Role.LEADER or self.term != term:
+            return False
+        if reply.term > self.term:
+            self._adopt_term(reply.term)
+            return False
+
+        self._answered_s[name] = self._now_s()
+        if not reply.success:
+            self._next[name] = max(1, min(self._next[name] - 1, reply.match_index + 1))
+            return True
+        self._match[name] = max(self._match[name], reply.match_index)
+        self._next[name] = self._match[name] + 1
+        self._advance_commit()
+        return self._next[name] <= self.last_index
+
+    def _append_request(self, next_index: int) -> AppendRequest:
+        previous = next_index - 1
+        return AppendRequest(
+            term=self.term,
+            leader=self.name,
+            previous_index=previous,
+            previous_term=self._term_at(previous),
+            entries=self._entries_from(next_index),
+            commit_index=self.commit_index,
+        )
+
+    def _snapshot_request(self) -> SnapshotRequest:
+        return SnapshotRequest(
+            term=self.term,
+            leader=self.name,
+            last_index=self._base_index,
+            last_term=self._base_term,
+            state=self._snapshot.SerializeToString(deterministic=True),
+        )
+
+    def _advance_commit(self) -> None:
+        matches = sorted([self.last_index, *self._match.values()], reverse=True)
+        index = matches[self._majority - 1]
+        if index > self.commit_index and self._term_at(index) == self.term:
+            self._commit_to(index)
+            for wake in self._wake.values():
+                wake.set()
+
+    def _accept_leader(self, term: int, leader: str) -> bool:
+        if term < self.term:
+            return False
+        if term > self.term:
+            self._adopt_term(term)
+        self._become_follower(leader)
+        self._heard_leader_s = self._now_s()
+        return True
+
+    def on_append(self, request: AppendRequest) -> AppendReply:
+        """Take a leader's entries.
+
+        Parameters
+        ----------
+        request : AppendRequest
+            The entries and what precedes them.
+
+        Returns
+        -------
+        AppendReply
+            Whether they were written, and how far the log matches.
+
+        Raises
+        ------
+        DiskFullError
+            If they could not be written.
+        """
+        if not self._accept_leader(request.term, request.leader):
+            return AppendReply(term=self.term)
+        if request.previous_index > self.last_index:
+            return AppendReply(term=self.term, match_index=self.last_index)
+        if request.previous_index >= self._base_index:
+            if self._term_at(request.previous_index) != request.previous_term:
+                return AppendReply(term=self.term, match_index=self.commit_index)
+
+        self._write_new(list(request.entries))
+        match = request.previous_index + len(request.entries)
+        self._allow_vote()
+        self._commit_to(min(request.commit_index, match))
+        return AppendReply(term=self.term, success=True, match_index=match)
+
+    def _write_new(self, entries: list[LogEntry]) -> None:
+        for position, entry in enumerate(entries):
+            if entry.index <= self._base_index:
+                continue
+            if entry.index <= self.last_index:
+                if self._term_at(entry.index) == entry.term:
+                    continue
+                self._truncate(entry.index - 1)
+            self._append(entries[position:])
+            return
+
+    def _truncate(self, last_index: int) -> None:
+        keep_count = last_index - self._base_index
+        self._storage.truncate(keep_count)
+        del self._entries[keep_count:]
+
+    def on_snapshot(self, request: SnapshotRequest) -> AppendReply:
+        """Take a leader's snapshot in place of a log that is too far behind.
+
+        Parameters
+        ----------
+        request : SnapshotRequest
+            The snapshot.
+
+        Returns
+        -------
+        AppendReply
+            How far the log now goes.
+
+        Raises
+        ------
+        DiskFullError
+            If it could not be written.
+        """
+        if not self._accept_leader(request.term, request.leader):
+            return AppendReply(term=self.term)
+        if request.last_index > self.commit_index:
+            snapshot = ControlState.FromString(request.state)
+            self._storage.save_snapshot(snapshot, [])
+            self._entries = []
+            self._set_base(snapshot)
+            self.documents.restore(snapshot)
+            self.commit_index = snapshot.last_index
+            self._tell_listeners()
+        self._allow_vote()
+        match = max(request.last_index, self.commit_index)
+        return AppendReply(term=self.term, success=True, match_index=match)
+
+    def _set_base(self, snapshot: ControlState) -> None:
+        self._snapshot = snapshot
+        self._base_index = snapshot.last_index
+        self._base_term = snapshot.last_term
+
+    # -- commit -------------------------------------------------------------------
+
+    def _commit_to(self, index: int) -> None:
+        if index <= self.commit_index:
+            return
+        for entry in self._entries[
+            self.commit_index - self._base_index : index - self._base_index
+        ]:
+            outcome = self.documents.apply(entry.index, entry.term, entry.command)
+            self._answer_waiting(entry, outcome)
+        self.commit_index = index
+        self._compact()
+        self._tell_listeners()
+
+    def _answer_waiting(self, entry: LogEntry, outcome: Outcome) -> None:
+        term, waiting = self._waiting.pop(entry.index, (0, None))
+        if waiting is None or waiting.done():
+            return
+        if term == entry.term:
+            waiting.set_result(outcome)
+        else:
+            waiting.set_exception(NotLeaderError(self.leader))
+
+    def _fail_waiting(self) -> None:
+        for _, waiting in self._waiting.values():
+            if not waiting.done():
+                waiting.set_exception(NotLeaderError(self.leader))
+        self._waiting.clear()
+
+    def _compact(self) -> None:
+        applied_count = self.commit_index - self._base_index
+        if applied_count < self._settings.snapshot_entry_count:
+            return
+        snapshot = self.documents.snapshot()
+        kept = self._entries[applied_count:]
+        self._storage.save_snapshot(snapshot, kept)
+        self._entries = kept
+        self._set_base(snapshot)
+
+    def _tell_listeners(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+    async def propose(self, command: bytes) -> Outcome:
+        """Add a command to the log and wait until it is committed and applied.
+
+        Parameters
+        ----------
+        command : bytes
+            A serialized `Command`.
+
+        Returns
+        -------
+        Outcome
+            What applying it gave.
+
+        Raises
+        ------
+        NotLeaderError
+            If this member does not lead, or stopped leading before it knew the
+            outcome; the change may yet be committed, and its id tells.
+        DiskFullError
+            If it could not be written; it was not accepted.
+        """
+        if self.role is not Role.LEADER:
+            raise NotLeaderError(self.leader)
+
+        index = self.last_index + 1
+        self._append([LogEntry(index=index, term=self.term, command=command)])
+        waiting = asyncio.get_running_loop().create_future()
+        self._waiting[index] = (self.term, waiting)
+        for wake in self._wake.values():
+            wake.set()
+        self._advance_commit()
+        return await waiting
+
+    async def on_stop(self) -> None:
+        """Close the disk's files."""
+        self._fail_waiting()
+        self._storage.close()
--- /dev/null
+++ b/src/agatethread/control/_state.py
@@ -0,0 +1,178 @@
+"""The replicated state: documents, drains and the outcome of each change."""
+
+from collections import OrderedDict
+
+from agatethread.exceptions import DocumentError
+from agatethread.settings import parse_document
+from agatethread.wire.control_pb2 import (
+    Command,
+    ControlState,
+    DocumentRecord,
+    Outcome,
+    OutcomeRecord,
+    PutDocument,
+    SetDrain,
+)
+
+#: Outcomes kept for resends; at 20,000 changes a day this is half a day.
+_OUTCOMES_KEPT = 10_000
+
+
+class DocumentState:
+    """Applies committed commands in order; equal logs give equal states."""
+
+    def __init__(self) -> None:
+        self.documents: dict[str, DocumentRecord] = {}
+        self.drained: set[str] = set()
+        self.last_index = 0
+        self.last_term = 0
+        #: Index of the last command that changed anything.
+        self.change_index = 0
+        self._outcomes: OrderedDict[str, Outcome] = OrderedDict()
+
+    def apply(self, index: int, term: int, data: bytes) -> Outcome:
+        """Apply one committed entry.
+
+        Parameters
+        ----------
+        index, term : int
+            Its place in the log.
+        data : bytes
+            A `Command`, or nothing for a leader's first entry.
+
+        Returns
+        -------
+        Outcome
+            The outcome; for a resent change that of its first time.
+        """
+        self.last_index, self.last_term = index, term
+        if not data:
+            return Outcome(accepted=True, index=index)
+
+        command = Command.FromString(data)
+        known = self._outcomes.get(command.change_id)
+        if known is not None:
+            return known
+
+        outcome = self._change(index, command)
+        if outcome.accepted:
+            self.change_index = index
+        if command.change_id:
+            self._outcomes[command.change_id] = outcome
+            if len(self._outcomes) > _OUTCOMES_KEPT:
+                self._outcomes.popitem(last=False)
+        return outcome
+
+    def outcome_of(self, change_id: str) -> Outcome | None:
+        """Look up the outcome of a change that was applied before.
+
+        Parameters
+        ----------
+        change_id : str
+            The operator's id of it.
+
+        Returns
+        -------
+        Outcome or None
+            None if it is not known.
+        """
+        return self._outcomes.get(change_id)
+
+    def _change(self, index: int, command: Command) -> Outcome:
+        if command.WhichOneof("body") == "set_drain":
+            return self._set_drain(index, command.set_drain)
+        return self._put_document(index, command.put_document, command.change_id)
+
+    def _set_drain(self, index: int, drain: SetDrain) -> Outcome:
+        if drain.draining:
+            self.drained.add(drain.name)
+        else:
+            self.drained.discard(drain.name)
+        return Outcome(accepted=True, index=index)
+
+    def _put_document(self, index: int, put: PutDocument, change_id: str) -> Outcome:
+        current = self.documents.get(put.service)
+        version = current.version if current else 0
+        if put.version != version + 1:
+            return Outcome(
+                accepted=False,
+                current_version=version,
+                winner_change_id=current.change_id if current else "",
+                error=f"version {put.version} does not follow {version}",
+            )
+
+        self.documents[put.service] = DocumentRecord(
+            service=put.service,
+            version=put.version,
+            text=put.text,
+            change_id=change_id,
+            index=index,
+        )
+        return Outcome(accepted=True, index=index, current_version=put.version)
+
+    def snapshot(self) -> ControlState:
+        """Copy the state into a message.
+
+        Returns
+        -------
+        ControlState
+            Equal states give equal bytes.
+        """
+        return ControlState(
+            last_index=self.last_index,
+            last_term=self.last_term,
+            change_index=self.change_index,
+            documents=[self.documents[name] for name in sorted(self.documents)],
+            outcomes=[
+                OutcomeRecord(change_id=change_id, outcome=outcome)
+                for change_id, outcome in self._outcomes.items()
+            ],
+            drained=sorted(self.drained),
+        )
+
+    def restore(self, snapshot: ControlState) -> None:
+        """Take the state of a snapshot in place of this one.
+
+        Parameters
+        ----------
+        snapshot : ControlState
+            What `snapshot` returned.
+        """
+        self.last_index = snapshot.last_index
+        self.last_term = snapshot.last_term
+        self.change_index = snapshot.change_index
+        self.documents = {record.service: record for record in snapshot.documents}
+        self.drained = set(snapshot.drained)
+        self._outcomes = OrderedDict(
+            (record.change_id, record.outcome) for record in snapshot.outcomes
+        )
+
+
+def check_command(command: Command) -> str:
+    """Check a change before it is proposed.
+
+    Parameters
+    ----------
+    command : Command
+        The change.
+
+    Returns
+    -------
+    str
+        What is wrong, or an empty string.
+    """
+    if not command.change_id:
+        return "a change needs a change id"
+    if command.WhichOneof("body") != "put_document":
+        return "" if command.set_drain.name else "a drain needs a name"
+
+    put = command.put_document
+    try:
+        document = parse_document(put.service, put.text.decode())
+    except DocumentError as error:
+        return "; ".join(str(fault) for fault in error.exceptions)
+    except UnicodeDecodeError:
+        return "the document is not UTF-8"
+    if (document.service, document.version) != (put.service, put.version):
+        return "service and version differ from the document's own"
+    return ""
--- /dev/null
+++ b/src/agatethread/control/_storage.py
@@ -0,0 +1,256 @@
+"""Durable term, vote, log and snapshot of one control instance.
+
+A log record is its length and CRC-32 followed by the entry. Nothing is answered before
+it is synced.
+"""
+
+import errno
+import os
+import struct
+import zlib
+from dataclasses import dataclass
+from pathlib import Path
+
+from google.protobuf.message import DecodeError
+
+from agatethread.exceptions import DiskFullError, LogCorruptError
+from agatethread.wire.control_pb2 import ControlState, HardState, LogEntry
+
+_HEADER = struct.Struct("!II")
+_LONGEST_RECORD_BYTES = 16 << 20
+_LOG, _SNAPSHOT, _HARD_STATE = "log", "snapshot", "hard_state"
+
+
+@dataclass(frozen=True)
+class Recovered:
+    """What a disk held at the start."""
+
+    hard_state: HardState
+    snapshot: ControlState
+    entries: list[LogEntry]
+
+
+def _frame(payload: bytes) -> bytes:
+    return _HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def _unframe(data: bytes, offset: int) -> bytes | None:
+    """Return the record at an offset, or None if it is not whole and sound."""
+    start = offset + _HEADER.size
+    if start > len(data):
+        return None
+    length, checksum = _HEADER.unpack_from(data, offset)
+    payload = data[start : start + length]
+    if len(payload) != length or zlib.crc32(payload) != checksum:
+        return None
+    return payload
+
+
+class LogStorage:
+    """Files of one control instance under its data folder.
+
+    Parameters
+    ----------
+    data_dir : str
+        The folder; made if missing.
+    """
+
+    def __init__(self, data_dir: str):
+        self._folder = Path(data_dir)
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._log_file = None
+        self._offsets: list[int] = []
+        self._size_bytes = 0
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of the log file."""
+        return self._size_bytes
+
+    def recover(self) -> Recovered:
+        """Read the disk; a torn last record is cut off.
+
+        Returns
+        -------
+        Recovered
+            The state to start from.
+
+        Raises
+        ------
+        LogCorruptError
+            If anything but the last record is unsound.
+        """
+        hard_state = HardState.FromString(self._read_whole(_HARD_STATE))
+        snapshot = ControlState.FromString(self._read_whole(_SNAPSHOT))
+        entries = self._read_log()
+        # A crash between writing a snapshot and cutting the log leaves entries that
+        # the snapshot holds already.
+        entries = [entry for entry in entries if entry.index > snapshot.last_index]
+        self.rewrite(entries)
+        return Recovered(hard_state, snapshot, entries)
+
+    def _read_whole(self, name: str) -> bytes:
+        path = self._folder / name
+        if not path.exists():
+            return b""
+        payload = _unframe(path.read_bytes(), 0)
+        if payload is None:
+            raise LogCorruptError(f"{path}: checksum does not match")
+        return payload
+
+    def _read_log(self) -> list[LogEntry]:
+        path = self._folder / _LOG
+        if not path.exists():
+            return []
+        data = path.read_bytes()
+        entries: list[LogEntry] = []
+        offset = 0
+        while offset < len(data):
+            payload = _unframe(data, offset)
+            if payload is None:
+                self._check_torn(path, data, offset)
+                break
+            try:
+                entries.append(LogEntry.FromString(payload))
+            except DecodeError:
+                raise LogCorruptError(f"{path}: offset {offset}: no entry") from None
+            offset += _HEADER.size + len(payload)
+        return entries
+
+    @staticmethod
+    def _check_torn(path: Path, data: bytes, offset: int) -> None:
+        # Only the last write can be torn. A record that claims to end before the end
+        # of the file has others behind it, so it was damaged later.
+        start = offset + _HEADER.size
+        if start > len(data):
+            return
+        length, _ = _HEADER.unpack_from(data, offset)
+        if length <= _LONGEST_RECORD_BYTES and start + length >= len(data):
+            return
+        raise LogCorruptError(f"{path}: offset {offset}: checksum does not match")
+
+    def save_hard_state(self, hard_state: HardState) -> None:
+        """Write the term and the vote, synced.
+
+        Parameters
+        ----------
+        hard_state : HardState
+            What to write.
+
+        Raises
+        ------
+        DiskFullError
+            If it could not be written.
+        """
+        self._replace(_HARD_STATE, _frame(hard_state.SerializeToString()))
+
+    def save_snapshot(self, snapshot: ControlState, kept: list[LogEntry]) -> None:
+        """Write a snapshot and cut the log down to what follows it.
+
+        Parameters
+        ----------
+        snapshot : ControlState
+            The state.
+        kept : list of LogEntry
+            Entries after it.
+
+        Raises
+        ------
+        DiskFullError
+            If it could not be written; the old files stay.
+        """
+        payload = snapshot.SerializeToString(deterministic=True)
+        self._replace(_SNAPSHOT, _frame(payload))
+        self.rewrite(kept)
+
+    def rewrite(self, entries: list[LogEntry]) -> None:
+        """Replace the log.
+
+        Parameters
+        ----------
+        entries : list of LogEntry
+            All its entries.
+
+        Raises
+        ------
+        DiskFullError
+            If it could not be written; the old log stays.
+        """
+        frames = [_frame(entry.SerializeToString()) for entry in entries]
+        self._replace(_LOG, b"".join(frames))
+        if self._log_file is not None:
+            self._log_file.close()
+        self._log_file = open(self._folder / _LOG, "ab", buffering=0)
+        self._offsets = []
+        self._size_bytes = 0
+        for frame in frames:
+            self._offsets.append(self._size_bytes)
+            self._size_bytes += len(frame)
+
+    def append(self, entries: list[LogEntry]) -> None:
+        """Add entries to the log, synced.
+
+        Parameters
+        ----------
+        entries : list of LogEntry
+            The entries.
+
+        Raises
+        ------
+        DiskFullError
+            If they could not be written; the log is as before.
+        """
+        frames = [_frame(entry.SerializeToString()) for entry in entries]
+        data = b"".join(frames)
+        try:
+            written = self._log_file.write(data)
+            if written != len(data):
+                raise OSError(errno.ENOSPC, "short write")
+            os.fsync(self._log_file.fileno())
+        except OSError as error:
+            os.ftruncate(self._log_file.fileno(), self._size_bytes)
+            raise DiskFullError(str(error)) from None
+        for frame in frames:
+            self._offsets.append(self._size_bytes)
+            self._size_bytes += len(frame)
+
+    def truncate(self, keep_count: int) -> None:
+        """Drop entries from the end of the log, synced.
+
+        Parameters
+        ----------
+        keep_count : int
+            Entries to keep, from the first in the file.
+        """
+        if keep_count >= len(self._offsets):
+            return
+        self._size_bytes = self._offsets[keep_count]
+        del self._offsets[keep_count:]
+        os.ftruncate(self._log_file.fileno(), self._size_bytes)
+        os.fsync(self._log_file.fileno())
+
+    def _replace(self, name: str, data: bytes) -> None:
+        path = self._folder / name
+        temporary = path.with_suffix(".new")
+        try:
+            with open(temporary, "wb") as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(temporary, path)
+            self._sync_folder()
+        except OSError as error:
+            raise DiskFullError(str(error)) from None
+
+    def _sync_folder(self) -> None:
+        folder = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def close(self) -> None:
+        """Close the log file."""
+        if self._log_file is not None:
+            self._log_file.close()
+            self._log_file = None
--- /dev/null
+++ b/src/agatethread/control/_watchers.py
@@ -0,0 +1,116 @@
+"""Streams to entry instances: documents out, acknowledgements in."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import grpc
+
+from agatethread.control._state import DocumentState
+from agatethread.wire.control_pb2 import WatcherStatus, WatchRequest, WatchUpdate
+
+#: Something is sent at least this often, so that silence means a cut.
+_HEARTBEAT_S = 1.0
+
+
+class WatchHub:
+    """Entry instances that watch this control instance.
+
+    Parameters
+    ----------
+    state : DocumentState
+        What is handed out.
+    """
+
+    def __init__(self, state: DocumentState):
+        self._state = state
+        self._watchers: dict[str, WatcherStatus] = {}
+        self._changed = asyncio.Condition()
+        self._wake: set[asyncio.Event] = set()
+
+    def wake(self) -> None:
+        """Look for changes, after entries were applied."""
+        for event in self._wake:
+            event.set()
+
+    def statuses(self) -> list[WatcherStatus]:
+        """List the watchers, also those that went away.
+
+        Returns
+        -------
+        list of WatcherStatus
+            By name.
+        """
+        return [self._watchers[name] for name in sorted(self._watchers)]
+
+    async def serve(
+        self, requests: AsyncIterator[WatchRequest], context: grpc.aio.ServicerContext
+    ) -> AsyncIterator[WatchUpdate]:
+        """Serve one stream.
+
+        Parameters
+        ----------
+        requests : async iterator of WatchRequest
+            The watcher's greeting and acknowledgements.
+        context : grpc.aio.ServicerContext
+            The call.
+
+        Yields
+        ------
+        WatchUpdate
+            First all documents, then what changed.
+        """
+        first = await anext(aiter(requests), None)
+        if first is None:
+            return
+
+        status = self._note(first)
+        reader = asyncio.ensure_future(self._read_acknowledgements(requests, status))
+        wake = asyncio.Event()
+        self._wake.add(wake)
+        try:
+            async for update in self._updates(wake, reader):
+                yield update
+        finally:
+            self._wake.discard(wake)
+            reader.cancel()
+            if self._watchers.get(first.instance) is status:
+                status.connected = False
+
+    async def _updates(
+        self, wake: asyncio.Event, reader: asyncio.Future
+    ) -> AsyncIterator[WatchUpdate]:
+        sent_index = -1
+        while not reader.done():
+            wake.clear()
+            yield self._update_since(sent_index)
+            sent_index = self._state.change_index
+            try:
+                await asyncio.wait_for(wake.wait(), _HEARTBEAT_S)
+            except TimeoutError:
+                continue
+
+    def _update_since(self, sent_index: int) -> WatchUpdate:
+        records = self._state.documents.values()
+        return WatchUpdate(
+            index=self._state.change_index,
+            complete=sent_index < 0,
+            documents=[record for record in records if record.index > sent_index],
+            drained=sorted(self._state.drained),
+        )
+
+    def _note(self, request: WatchRequest) -> WatcherStatus:
+        status = WatcherStatus(
+            instance=request.instance,
+            failure_domain=request.failure_domain,
+            applied_index=request.applied_index,
+            connected=True,
+            admin=request.admin,
+        )
+        self._watchers[request.instance] = status
+        return status
+
+    async def _read_acknowledgements(
+        self, requests: AsyncIterator[WatchRequest], status: WatcherStatus
+    ) -> None:
+        async for request in requests:
+            status.applied_index = request.applied_index
--- /dev/null
+++ b/src/agatethread/entry/_documents.py
@@ -0,0 +1,133 @@
+"""Service documents and drains as this instance has them; they never go back."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import grpc
+from mode import Service
+
+from agatethread.exceptions import DocumentError
+from agatethread.observability import Counters, make_logger
+from agatethread.rpc import open_channel
+from agatethread.settings import ServiceDocument, Settings, parse_document
+from agatethread.wire.control_pb2 import DocumentRecord, WatchRequest, WatchUpdate
+from agatethread.wire.control_pb2_grpc import ControlStub
+
+_RECONNECT_S = 0.2
+#: Control sends something at least each second; silence means that it is cut off.
+_SILENCE_S = 3.0
+
+log = make_logger("documents")
+
+
+class DocumentBook:
+    """The newest document of each service."""
+
+    def __init__(self) -> None:
+        self.index = 0
+        self.documents: dict[str, ServiceDocument] = {}
+        self.drained: frozenset[str] = frozenset()
+        self._indexes: dict[str, int] = {}
+
+    def take(self, update: WatchUpdate) -> bool:
+        """Take what a control instance sent, unless something newer is known.
+
+        Parameters
+        ----------
+        update : WatchUpdate
+            Documents and drains as of a log index.
+
+        Returns
+        -------
+        bool
+            Whether it was taken.
+        """
+        if update.index < self.index:
+            return False
+
+        for record in update.documents:
+            self._take_document(record)
+        self.drained = frozenset(update.drained)
+        self.index = update.index
+        return True
+
+    def _take_document(self, record: DocumentRecord) -> None:
+        if record.index <= self._indexes.get(record.service, 0):
+            return
+        try:
+            document = parse_document(record.service, record.text.decode())
+        except (DocumentError, UnicodeDecodeError) as error:
+            # Control checks documents before it accepts them, so this is a fault of
+            # versions that differ; the last good document stays.
+            log.error("document not taken", service=record.service, error=error)
+            return
+        self.documents[record.service] = document
+        self._indexes[record.service] = record.index
+
+
+class DocumentWatcher(Service):
+    """Keeps a stream open to one control instance and acknowledges what it brings.
+
+    Parameters
+    ----------
+    settings : Settings
+        Names this instance and the control instances.
+    book : DocumentBook
+        Where updates go.
+    on_update : callable
+        Called after each change.
+    counters : Counters
+        Counts updates and reconnections.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        book: DocumentBook,
+        on_update: Callable[[], None],
+        counters: Counters,
+    ):
+        super().__init__()
+        self._settings = settings
+        self._book = book
+        self._on_update = on_update
+        self._counters = counters
+
+    @Service.task
+    async def _watch(self) -> None:
+        targets = list(self._settings.entry.control)
+        random.shuffle(targets)
+        while targets and not self.should_stop:
+            for target in targets:
+                await self._watch_one(target)
+                await self.sleep(_RECONNECT_S)
+
+    async def _watch_one(self, target: str) -> None:
+        try:
+            async with open_channel(self._settings, target) as channel:
+                await self._follow(ControlStub(channel).Watch())
+        except (grpc.RpcError, TimeoutError, asyncio.InvalidStateError) as error:
+            self._counters["control_lost"] += 1
+            log.debug("control instance lost", target=target, error=repr(error))
+
+    async def _follow(self, stream: grpc.aio.StreamStreamCall) -> None:
+        await stream.write(self._request())
+        while not self.should_stop:
+            update = await asyncio.wait_for(stream.read(), _SILENCE_S)
+            if not isinstance(update, WatchUpdate):
+                return
+            if update.index == self._book.index and not update.complete:
+                continue
+            if self._book.take(update):
+                self._counters["control_updates"] += 1
+                self._on_update()
+                await stream.write(self._request())
+
+    def _request(self) -> WatchRequest:
+        return WatchRequest(
+            instance=self._settings.name,
+            failure_domain=self._settings.failure_domain,
+            applied_index=self._book.index,
+            admin=self._settings.admin,
+        )
--- /dev/null
+++ b/src/agatethread/entry/_forwarding.py
@@ -0,0 +1,192 @@
+"""The data path of open flows: nothing is remembered that a cookie can't restore."""
+
+from collections.abc import Callable
+
+from agatethread.exceptions import SealError
+from agatethread.observability import Counters
+from agatethread.routing import EndpointTable
+from agatethread.wire import (
+    Cookie,
+    Envelope,
+    Kind,
+    Reason,
+    Sealer,
+    StreamLabel,
+    pack_address,
+    parse_cookie,
+    parse_label,
+    seal_stream_label,
+    service_hash,
+    unpack_address,
+)
+
+#: Opened cookies and labels kept to save their seals' cost; any may be dropped.
+_CACHE_COUNT = 4_096
+
+Address = tuple[str, int]
+Send = Callable[[bytes, Address], None]
+#: Backend server's address, fields appended to the datagram, service and flow.
+Route = tuple[Address, bytes, str, int]
+
+
+class Forwarder:
+    """Forwards datagrams of open flows in both directions.
+
+    Parameters
+    ----------
+    sealer : Sealer
+        Opens cookies and labels.
+    endpoints : EndpointTable
+        Who holds an address now.
+    send_backend, send_caller : callable
+        Send a datagram towards either side.
+    counters : Counters
+        Counts datagrams by what was done with them.
+    """
+
+    def __init__(
+        self,
+        sealer: Sealer,
+        endpoints: EndpointTable,
+        send_backend: Send,
+        send_caller: Send,
+        counters: Counters,
+    ):
+        self._sealer = sealer
+        self._endpoints = endpoints
+        self._send_backend = send_backend
+        self._send_caller = send_caller
+        self._counters = counters
+        self._routes: dict[tuple[bytes, Address], Route] = {}
+        self._labels: dict[bytes, tuple[StreamLabel, Address, Address]] = {}
+
+    def forget_routes(self) -> None:
+        """Judge every cookie anew, after a backend server's change."""
+        self._routes.clear()
+
+    def to_backend(self, data: bytes, envelope: Envelope, caller: Address) -> bool:
+        """Forward a caller's datagram of an open flow.
+
+        Parameters
+        ----------
+        data : bytes
+            The datagram.
+        envelope : Envelope
+            The datagram, decoded.
+        caller : tuple of (str, int)
+            Its source.
+
+        Returns
+        -------
+        bool
+            Whether it was forwarded.
+
+        Raises
+        ------
+        SealError
+            If its cookie is not ours.
+        """
+        key = (envelope.cookie, caller)
+        route = self._routes.get(key)
+        if route is None:
+            route = self._find_route(envelope, caller)
+            if route is None:
+                return False
+            if len(self._routes) >= _CACHE_COUNT:
+                self._routes.clear()
+            self._routes[key] = route
+
+        target, suffix, service, flow_id = route
+        if envelope.flow_id != flow_id or envelope.service != service:
+            self._counters["dropped_wrong_flow"] += 1
+            return False
+
+        self._send_backend(data + suffix, target)
+        self._counters["forwarded"] += 1
+        return True
+
+    def _find_route(self, envelope: Envelope, caller: Address) -> Route | None:
+        cookie = parse_cookie(self._sealer, envelope.cookie)
+        if cookie.service != service_hash(envelope.service):
+            self._counters["dropped_wrong_service"] += 1
+            return None
+        if self._has_ended(cookie, envelope.service):
+            self._reset(envelope, caller)
+            return None
+
+        label = StreamLabel(
+            pack_address(caller), cookie.service, cookie.flow_id, cookie.endpoint
+        )
+        suffix = Envelope(
+            return_label=seal_stream_label(self._sealer, label),
+            incarnation=cookie.incarnation,
+        ).SerializeToString()
+        target = unpack_address(cookie.endpoint)
+        return target, suffix, envelope.service, cookie.flow_id
+
+    def _has_ended(self, cookie: Cookie, service: str) -> bool:
+        # An address that we know nothing of, or only older news, is not judged: the
+        # cookie is proof that the run existed, and the backend server checks too.
+        holder = self._endpoints.by_address.get(cookie.endpoint)
+        if holder is None or holder.incarnation < cookie.incarnation:
+            return False
+        if holder.incarnation > cookie.incarnation or holder.service != service:
+            return True
+        return holder.gone
+
+    def _reset(self, envelope: Envelope, caller: Address) -> None:
+        self._counters["reset"] += 1
+        reset = Envelope(
+            kind=Kind.RESET,
+            service=envelope.service,
+            flow_id=envelope.flow_id,
+            cookie=envelope.cookie,
+            reason=Reason.ENDPOINT_GONE,
+        )
+        self._send_caller(reset.SerializeToString(), caller)
+
+    def to_caller(
+        self, data: bytes, envelope: Envelope, source: Address
+    ) -> StreamLabel | None:
+        """Forward a backend server's datagram of a flow.
+
+        Parameters
+        ----------
+        data : bytes
+            The datagram.
+        envelope : Envelope
+            The datagram, decoded.
+        source : tuple of (str, int)
+            Where it came from.
+
+        Returns
+        -------
+        StreamLabel or None
+            Its label, or None if it was dropped.
+
+        Raises
+        ------
+        SealError
+            If its label is not ours.
+        """
+        cached = self._labels.get(envelope.return_label)
+        if cached is None:
+            cached = self._open_label(envelope)
+            if len(self._labels) >= _CACHE_COUNT:
+                self._labels.clear()
+            self._labels[envelope.return_label] = cached
+
+        label, caller, endpoint = cached
+        if source != endpoint or envelope.flow_id != label.flow_id:
+            self._counters["dropped_wrong_source"] += 1
+            return None
+
+        self._send_caller(data, caller)
+        self._counters["returned"] += 1
+        return label
+
+    def _open_label(self, envelope: Envelope) -> tuple[StreamLabel, Address, Address]:
+        label = parse_label(self._sealer, envelope.return_label)
+        if not isinstance(label, StreamLabel):
+            raise SealError("not a flow's label")
+        return label, unpack_address(label.caller), unpack_address(label.endpoint)
--- /dev/null
+++ b/src/agatethread/membership/__init__.py
@@ -0,0 +1,6 @@
+"""Which entry instances are alive, without agreement (SWIM, Das et al., DSN 2002)."""
+
+from agatethread.membership._members import Member, MemberTable
+from agatethread.membership._prober import Prober
+
+__all__ = ["Member", "MemberTable", "Prober"]
--- /dev/null
+++ b/src/agatethread/membership/_prober.py
@@ -0,0 +1,219 @@
+"""Failure detection: random probes, indirect probes, suspicion, and re-joining."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from mode import Service
+
+from agatethread.membership._members import Member, MemberTable, member_from_update
+from agatethread.observability import Counters, make_logger
+from agatethread.timing import TimerService
+from agatethread.wire import Ack, MemberState, MemberUpdate, Peer, Ping
+
+_UPDATES_IN_DATAGRAM = 6
+#: Updates in the answer to a join: fits one datagram.
+_UPDATES_IN_JOIN = 16
+_INDIRECT_COUNT = 2
+_REJOIN_INTERVAL_S = 0.5
+
+Send = Callable[[bytes, Peer], None]
+
+log = make_logger("membership")
+
+
+class Prober(Service):
+    """Probes one other instance each interval, so that cost is free of fleet size.
+
+    Parameters
+    ----------
+    table : MemberTable
+        What is known of the fleet.
+    timers : TimerService
+        Drives the probes.
+    send : callable
+        Sends a peer message to a packed address.
+    seeds : list of bytes
+        Packed addresses to join through.
+    interval_s, suspicion_s : float
+        Time between probes, and from suspicion to death.
+    counters : Counters
+        Counts probes and verdicts.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        timers: TimerService,
+        send: Send,
+        seeds: list[bytes],
+        interval_s: float,
+        suspicion_s: float,
+        counters: Counters,
+    ):
+        super().__init__()
+        self._table = table
+        self._timers = timers
+        self._send = send
+        self._seeds = [seed for seed in seeds if seed != table.me.address]
+        self._interval_s = interval_s
+        self._suspicion_s = suspicion_s
+        self._counters = counters
+        self._sequence = 0
+        self._waiting: dict[int, asyncio.Future[None]] = {}
+        self._round: list[str] = []
+        self._random = random.Random(table.me.incarnation)
+        table.subscribe(self._on_change)
+
+    async def on_start(self) -> None:
+        """Join the fleet and start probing."""
+        self._join_all()
+        self._timers.subscribe(self._interval_s, self._start_probe)
+        self._timers.subscribe(_REJOIN_INTERVAL_S, self._rejoin)
+
+    def _join_all(self) -> None:
+        for seed in self._seeds:
+            self._send_join(seed)
+
+    def _send_join(self, address: bytes) -> None:
+        ping = self._new_ping()
+        ping.join = True
+        ping.updates.append(self._table.me.to_update())
+        self._send(address, Peer(ping=ping))
+
+    def tell_all(self) -> None:
+        """Tell a change of this instance's own state to everyone at once."""
+        for member in self._table.live_peers():
+            ping = self._new_ping()
+            ping.updates.append(self._table.me.to_update())
+            self._send(member.address, Peer(ping=ping))
+
+    def _new_ping(self) -> Ping:
+        self._sequence += 1
+        updates = self._table.take_gossip(_UPDATES_IN_DATAGRAM)
+        return Ping(sequence=self._sequence, updates=updates)
+
+    def _rejoin(self) -> None:
+        # A healed cut is found by asking instances thought dead; both sides of it
+        # learn all there is from one exchange.
+        candidates = [member.address for member in self._table.dead()]
+        if not self._table.live_peers():
+            candidates += self._seeds
+        if candidates:
+            self._send_join(self._random.choice(candidates))
+
+    def _start_probe(self) -> None:
+        target = self._next_target()
+        if target is not None:
+            self.add_future(self._probe(target))
+
+    def _next_target(self) -> Member | None:
+        while True:
+            if not self._round:
+                self._round = [member.name for member in self._table.live_peers()]
+                self._random.shuffle(self._round)
+            if not self._round:
+                return None
+            member = self._table.members[self._round.pop()]
+            if member.state != MemberState.DEAD:
+                return member
+
+    async def _probe(self, target: Member) -> None:
+        if await self._ping(target.address, Ping()):
+            return
+
+        helpers = [m for m in self._table.live_peers() if m.name != target.name]
+        self._random.shuffle(helpers)
+        asked = [
+            self._ping(helper.address, Ping(target=target.address))
+            for helper in helpers[:_INDIRECT_COUNT]
+        ]
+        if any(await asyncio.gather(*asked)):
+            return
+
+        self._counters["probe_failed"] += 1
+        current = self._table.members.get(target.name)
+        if current is not None and current.ref == target.ref:
+            self._table.suspect(current)
+
+    async def _ping(self, address: bytes, ping: Ping) -> bool:
+        ping.MergeFrom(self._new_ping())
+        answered = asyncio.get_running_loop().create_future()
+        self._waiting[ping.sequence] = answered
+        self._send(address, Peer(ping=ping))
+        try:
+            await asyncio.wait_for(answered, self._interval_s)
+        except TimeoutError:
+            return False
+        finally:
+            self._waiting.pop(ping.sequence, None)
+        return True
+
+    def on_ping(self, sender: bytes, ping: Ping) -> None:
+        """Answer a probe, or probe on behalf of another instance.
+
+        Parameters
+        ----------
+        sender : bytes
+            Packed address to answer to.
+        ping : Ping
+            The probe.
+        """
+        self._take(ping.updates)
+        if ping.target:
+            self.add_future(self._probe_for(sender, ping))
+            return
+
+        self._send(sender, Peer(ack=self._answer(ping)))
+
+    def _answer(self, ping: Ping) -> Ack:
+        if not ping.join:
+            updates = self._table.take_gossip(_UPDATES_IN_DATAGRAM)
+            return Ack(sequence=ping.sequence, updates=updates)
+
+        # The one who joins hears first of itself, so that it can refute its death.
+        names = [update.name for update in ping.updates]
+        others = [name for name in self._table.members if name not in names]
+        self._random.shuffle(others)
+        chosen = [name for name in names if name in self._table.members] + others
+        updates = [
+            self._table.members[name].to_update() for name in chosen[:_UPDATES_IN_JOIN]
+        ]
+        return Ack(sequence=ping.sequence, updates=updates)
+
+    async def _probe_for(self, sender: bytes, ping: Ping) -> None:
+        if await self._ping(ping.target, Ping()):
+            self._send(sender, Peer(ack=Ack(sequence=ping.sequence)))
+
+    def on_ack(self, ack: Ack) -> None:
+        """Take the answer to a probe.
+
+        Parameters
+        ----------
+        ack : Ack
+            The answer.
+        """
+        self._take(ack.updates)
+        answered = self._waiting.get(ack.sequence)
+        if answered is not None and not answered.done():
+            answered.set_result(None)
+
+    def _take(self, updates: list[MemberUpdate]) -> None:
+        for update in updates:
+            self._table.apply(member_from_update(update))
+
+    def _on_change(self, member: Member) -> None:
+        if member.name == self._table.me.name:
+            return
+        log.info(
+            "member changed",
+            member=member.name,
+            state=MemberState.Name(member.state),
+            incarnation=member.incarnation,
+        )
+        if member.state == MemberState.SUSPECT:
+            self.add_future(self._await_refutation(member))
+
+    async def _await_refutation(self, member: Member) -> None:
+        await asyncio.sleep(self._suspicion_s)
+        self._table.declare_dead(member)
--- /dev/null
+++ b/src/agatethread/operations/__init__.py
@@ -0,0 +1,23 @@
+"""Requests: admission, at most one dispatch where that matters, typed verdicts."""
+
+from agatethread.operations._claims import ClaimKeeper
+from agatethread.operations._owner import OperationOwner
+from agatethread.operations._queue import ServiceQueue
+from agatethread.operations._records import (
+    Operation,
+    Ports,
+    RefusedError,
+    refused,
+    unknown,
+)
+
+__all__ = [
+    "ClaimKeeper",
+    "Operation",
+    "OperationOwner",
+    "Ports",
+    "RefusedError",
+    "ServiceQueue",
+    "refused",
+    "unknown",
+]
--- /dev/null
+++ b/src/agatethread/operations/_claims.py
@@ -0,0 +1,271 @@
+"""The standby's side of an operation: it grants claims and speaks for a dead owner.
+
+An operation names its owner and its standby for good. The owner may dispatch only what
+the standby has granted, so once the standby has refused an operation, or has seen it
+claimed, it can answer truthfully whatever became of the owner: frozen, cut off or dead.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from agatethread.exceptions import SealError
+from agatethread.observability import Counters
+from agatethread.operations._records import Ports, RetainedTable, refused, unknown
+from agatethread.routing import EndpointTable
+from agatethread.wire import (
+    Claim,
+    ClaimReply,
+    Envelope,
+    Kind,
+    MemberRef,
+    OperationLabel,
+    Peer,
+    Reason,
+    Relay,
+    Sealer,
+    Token,
+    VerdictNote,
+    operation_id_parts,
+    parse_token,
+)
+
+_MOVED_RETRY_S = 0.001
+#: How long after its deadline an owner's verdict is waited for.
+_NOTE_GRACE_S = 5.0
+
+
+class _State(enum.Enum):
+    CLAIMED = enum.auto()
+    DECIDED = enum.auto()
+
+
+@dataclass(eq=False, slots=True)
+class _ClaimRecord:
+    token: Token
+    service: str
+    caller: bytes
+    endpoint: bytes
+    attempt: int
+    deadline_at_s: float
+    state: _State
+    verdict: bytes | None = None
+
+
+class ClaimKeeper:
+    """Claims of operations whose standby is this run of this instance.
+
+    Parameters
+    ----------
+    ports : Ports
+        The rest of the instance.
+    sealer : Sealer
+        Opens tokens.
+    endpoints : EndpointTable
+        Tells whether a backend server is gone.
+    counters : Counters
+        Counts what was decided.
+    limit_count : int
+        Most claims kept.
+    retention_s : float
+        How long a decided one is kept.
+    """
+
+    def __init__(
+        self,
+        ports: Ports,
+        sealer: Sealer,
+        endpoints: EndpointTable,
+        counters: Counters,
+        limit_count: int,
+        retention_s: float,
+    ):
+        self._ports = ports
+        self._sealer = sealer
+        self._endpoints = endpoints
+        self._counters = counters
+        self._records: RetainedTable[_ClaimRecord] = RetainedTable(
+            limit_count, retention_s
+        )
+        self._open: dict[bytes, _ClaimRecord] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def on_claim(self, sender: MemberRef, claim: Claim) -> None:
+        """Grant or deny an owner's claim.
+
+        Parameters
+        ----------
+        sender : MemberRef
+            The owner's run.
+        claim : Claim
+            What it asks for.
+        """
+        granted = self._grant(sender, claim)
+        self._counters["claim_granted" if granted else "claim_denied"] += 1
+        reply = ClaimReply(operation_id=claim.operation_id, granted=granted)
+        reply.attempt = claim.attempt
+        self._ports.send_peer(sender.address, Peer(claim_reply=reply))
+
+    def _grant(self, sender: MemberRef, claim: Claim) -> bool:
+        token = self._parse(claim.operation_id)
+        if token is None or token.owner != sender or token.standby != self._ports.me():
+            return False
+
+        record = self._records.find(claim.operation_id)
+        if record is not None:
+            return self._grant_again(record, claim)
+        if self._records.is_full:
+            return False
+
+        record = _ClaimRecord(
+            token,
+            claim.service,
+            claim.caller,
+            claim.endpoint,
+            claim.attempt,
+            self._ports.now_s() + claim.deadline_ms / 1000,
+            _State.CLAIMED,
+        )
+        self._records.add(claim.operation_id, record)
+        self._open[claim.operation_id] = record
+        return True
+
+    @staticmethod
+    def _grant_again(record: _ClaimRecord, claim: Claim) -> bool:
+        if record.state is _State.DECIDED or claim.attempt < record.attempt:
+            return False
+        record.attempt = claim.attempt
+        record.endpoint = claim.endpoint
+        return True
+
+    def _parse(self, operation_id: bytes) -> Token | None:
+        try:
+            return parse_token(self._sealer, operation_id_parts(operation_id)[0])
+        except SealError:
+            return None
+
+    def on_verdict_note(self, note: VerdictNote) -> None:
+        """Keep the verdict that a live owner gave.
+
+        Parameters
+        ----------
+        note : VerdictNote
+            The verdict.
+        """
+        record = self._records.find(note.operation_id)
+        if record is not None and record.state is _State.CLAIMED:
+            self._decide(note.operation_id, record, note.datagram)
+
+    def on_copy(self, envelope: Envelope, token: Token, caller: bytes) -> None:
+        """Answer a copy of an operation whose owner the sender believes dead.
+
+        Parameters
+        ----------
+        envelope : Envelope
+            The caller's request.
+        token : Token
+            Its token.
+        caller : bytes
+            Packed address of the caller.
+        """
+        operation_id = envelope.operation_id
+        record = self._records.find(operation_id)
+        if record is not None and record.state is _State.DECIDED:
+            self._ports.send_caller(caller, record.verdict)
+            return
+        if self._ports.is_alive(token.owner):
+            relay = Relay(caller=caller, datagram=envelope.SerializeToString())
+            self._ports.send_peer(token.owner.address, Peer(relay=relay))
+            return
+        if record is not None:
+            record.caller = caller
+            return
+        self._refuse(envelope, token, caller)
+
+    def _refuse(self, envelope: Envelope, token: Token, caller: bytes) -> None:
+        fresh = self._ports.fresh_token(envelope.service)
+        if self._records.is_full:
+            verdict = unknown(envelope.operation_id, Reason.TABLE_FULL, fresh)
+            self._ports.send_caller(caller, verdict)
+            return
+
+        # Recorded before it is said: from here on every claim of it is denied.
+        record = _ClaimRecord(
+            token, envelope.service, caller, b"", 0, 0.0, _State.CLAIMED
+        )
+        self._records.add(envelope.operation_id, record)
+        verdict = refused(envelope.operation_id, Reason.MOVED, _MOVED_RETRY_S, fresh)
+        self._decide(envelope.operation_id, record, verdict)
+        self._counters["standby_refused"] += 1
+        self._ports.send_caller(caller, verdict)
+
+    def on_reply(
+        self, operation_id: bytes, label: OperationLabel, envelope: Envelope
+    ) -> None:
+        """Take a backend server's reply to an operation whose owner is dead.
+
+        Parameters
+        ----------
+        operation_id : bytes
+            The operation.
+        label : OperationLabel
+            The reply's label.
+        envelope : Envelope
+            The reply.
+        """
+        record = self._records.find(operation_id)
+        if record is None or record.state is _State.DECIDED:
+            return
+        if label.attempt != record.attempt:
+            return
+
+        if envelope.kind == Kind.ANSWER:
+            verdict = Envelope(
+                kind=Kind.ANSWER, operation_id=operation_id, payload=envelope.payload
+            ).SerializeToString()
+        else:
+            # Shed: it did not run, and from here on no later attempt is granted.
+            fresh = self._ports.fresh_token(record.service)
+            verdict = refused(operation_id, Reason.MOVED, _MOVED_RETRY_S, fresh)
+        self._decide(operation_id, record, verdict)
+        self._counters["standby_completed"] += 1
+        self._ports.send_caller(record.caller, verdict)
+
+    def sweep(self) -> None:
+        """Say "unknown" for dead owners' operations that can't be answered any more."""
+        now_s = self._ports.now_s()
+        for operation_id, record in list(self._open.items()):
+            late = now_s > record.deadline_at_s
+            if self._ports.is_alive(record.token.owner):
+                if now_s > record.deadline_at_s + _NOTE_GRACE_S:
+                    self._close_late(operation_id, record)
+                continue
+            if late or self._is_gone(record.endpoint):
+                self._give_up(operation_id, record)
+        self._records.expire(now_s)
+
+    def _close_late(self, operation_id: bytes, record: _ClaimRecord) -> None:
+        # The owner has told the caller by its deadline; only its note was lost.
+        fresh = self._ports.fresh_token(record.service)
+        verdict = unknown(operation_id, Reason.DEADLINE, fresh)
+        self._decide(operation_id, record, verdict)
+
+    def _is_gone(self, address: bytes) -> bool:
+        endpoint = self._endpoints.by_address.get(address)
+        return endpoint is not None and endpoint.gone
+
+    def _give_up(self, operation_id: bytes, record: _ClaimRecord) -> None:
+        fresh = self._ports.fresh_token(record.service)
+        verdict = unknown(operation_id, Reason.HOME_LOST, fresh)
+        self._decide(operation_id, record, verdict)
+        self._counters["standby_unknown"] += 1
+        self._ports.send_caller(record.caller, verdict)
+
+    def _decide(
+        self, operation_id: bytes, record: _ClaimRecord, verdict: bytes
+    ) -> None:
+        record.state = _State.DECIDED
+        record.verdict = verdict
+        self._open.pop(operation_id, None)
+        self._records.finish(operation_id, self._ports.now_s())
--- /dev/null
+++ b/src/agatethread/operations/_owner.py
@@ -0,0 +1,442 @@
+"""The owner's side of an operation: one task takes it from admission to its verdict."""
+
+import asyncio
+import enum
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from agatethread.observability import Counters, make_logger
+from agatethread.operations._queue import ServiceQueue
+from agatethread.operations._records import (
+    Operation,
+    Ports,
+    RefusedError,
+    RetainedTable,
+    refused,
+    unknown,
+)
+from agatethread.routing import Endpoint
+from agatethread.wire import (
+    NO_MEMBER,
+    Claim,
+    ClaimReply,
+    Envelope,
+    Kind,
+    OperationLabel,
+    Peer,
+    Reason,
+    Sealer,
+    Token,
+    VerdictNote,
+    operation_id_parts,
+    seal_operation_label,
+)
+
+_MOVED_RETRY_S = 0.001
+_CLAIM_RESEND_S = 0.05
+#: An idempotent attempt that takes this many usual service times is tried elsewhere.
+_PATIENCE_FACTOR = 8
+_LEAST_PATIENCE_S = 0.5
+
+log = make_logger("operations")
+
+
+class _End(enum.Enum):
+    ANSWERED = enum.auto()
+    SHED = enum.auto()
+    LOST = enum.auto()
+    TIMED_OUT = enum.auto()
+    CANCELLED = enum.auto()
+
+
+@dataclass(frozen=True)
+class _Outcome:
+    end: _End
+    reply: Envelope | None = None
+
+
+class OperationOwner:
+    """Operations that this run of this instance decides.
+
+    Parameters
+    ----------
+    ports : Ports
+        The rest of the instance.
+    sealer : Sealer
+        Seals return labels.
+    queue_of : callable
+        Returns a service's queue, or None without a document.
+    is_dispatcher : callable
+        Whether this instance now dispatches for a service.
+    start_task : callable
+        Runs a coroutine as a task of the instance.
+    counters : Counters
+        Counts verdicts.
+    limit_count, retention_s, claim_timeout_s
+        As in the settings.
+    """
+
+    def __init__(
+        self,
+        ports: Ports,
+        sealer: Sealer,
+        queue_of: Callable[[str], ServiceQueue | None],
+        is_dispatcher: Callable[[str], bool],
+        start_task: Callable[[Coroutine[Any, Any, None]], Any],
+        counters: Counters,
+        limit_count: int,
+        retention_s: float,
+        claim_timeout_s: float,
+    ):
+        self._ports = ports
+        self._sealer = sealer
+        self._queue_of = queue_of
+        self._is_dispatcher = is_dispatcher
+        self._start_task = start_task
+        self._counters = counters
+        self._claim_timeout_s = claim_timeout_s
+        self._table: RetainedTable[Operation] = RetainedTable(limit_count, retention_s)
+        self._claims: dict[tuple[bytes, int], asyncio.Future[bool]] = {}
+        self._running: set[Operation] = set()
+
+    def __len__(self) -> int:
+        return len(self._table)
+
+    @property
+    def running_count(self) -> int:
+        """Operations without a verdict yet."""
+        return len(self._running)
+
+    def on_request(
+        self, envelope: Envelope, token: Token, caller: bytes, deadline_s: float
+    ) -> None:
+        """Take a request or a copy of one.
+
+        Parameters
+        ----------
+        envelope : Envelope
+            The caller's request.
+        token : Token
+            Its token; its owner is this run, unless the operation is idempotent.
+        caller : bytes
+            Packed address of the caller.
+        deadline_s : float
+            Time until the deadline.
+        """
+        operation = self._table.find(envelope.operation_id)
+        if operation is not None:
+            self._on_copy(operation, caller)
+            return
+        if self._table.is_full:
+            self._counters["operation_table_full"] += 1
+            fresh = self._ports.fresh_token(envelope.service)
+            verdict = unknown(envelope.operation_id, Reason.TABLE_FULL, fresh)
+            self._ports.send_caller(caller, verdict)
+            return
+
+        operation = self._make(envelope, token, caller, deadline_s)
+        self._table.add(operation.operation_id, operation)
+        self._running.add(operation)
+        self._start_task(self._run(operation))
+
+    def _make(
+        self, envelope: Envelope, token: Token, caller: bytes, deadline_s: float
+    ) -> Operation:
+        return Operation(
+            operation_id=envelope.operation_id,
+            service=envelope.service,
+            partner=envelope.partner,
+            caller=caller,
+            datagram=envelope.SerializeToString(),
+            idempotent=envelope.idempotent,
+            deadline_at_s=self._ports.now_s() + deadline_s,
+            token=token,
+            nonce=operation_id_parts(envelope.operation_id)[1],
+        )
+
+    def _on_copy(self, operation: Operation, caller: bytes) -> None:
+        self._counters["operation_copies"] += 1
+        operation.caller = caller
+        if operation.verdict is not None:
+            self._ports.send_caller(caller, operation.verdict)
+            return
+        self._send_accepted(operation)
+
+    def _send_accepted(self, operation: Operation) -> None:
+        accepted = Envelope(kind=Kind.ACCEPTED, operation_id=operation.operation_id)
+        self._ports.send_caller(operation.caller, accepted.SerializeToString())
+
+    async def _run(self, operation: Operation) -> None:
+        try:
+            verdict = await self._serve(operation)
+        except RefusedError as error:
+            self._counters["refused_" + Reason.Name(error.reason).lower()] += 1
+            verdict = refused(
+                operation.operation_id,
+                error.reason,
+                error.retry_after_s,
+                self._ports.fresh_token(operation.service),
+            )
+        self._finish(operation, verdict)
+
+    def _finish(self, operation: Operation, verdict: bytes) -> None:
+        operation.verdict = verdict
+        operation.datagram = b""
+        operation.endpoint = None
+        self._running.discard(operation)
+        self._table.finish(operation.operation_id, self._ports.now_s())
+        self._ports.send_caller(operation.caller, verdict)
+        if not operation.idempotent and operation.token.standby != NO_MEMBER:
+            note = VerdictNote(operation_id=operation.operation_id, datagram=verdict)
+            standby = operation.token.standby.address
+            self._ports.send_peer(standby, Peer(verdict_note=note))
+
+    async def _serve(self, operation: Operation) -> bytes:
+        if not self._is_dispatcher(operation.service):
+            raise RefusedError(Reason.MOVED, _MOVED_RETRY_S)
+        queue = self._queue_of(operation.service)
+        if queue is None:
+            raise RefusedError(Reason.NO_DOCUMENT, 1.0)
+
+        self._send_accepted(operation)
+        queue.earn_retry()
+        avoid = None
+        while True:
+            endpoint = await queue.acquire(
+                operation.partner, operation.deadline_at_s, avoid
+            )
+            outcome = await self._hold_slot(operation, queue, endpoint)
+            verdict = self._judge(operation, queue, endpoint, outcome)
+            if verdict is not None:
+                return verdict
+            avoid = endpoint
+
+    async def _hold_slot(
+        self, operation: Operation, queue: ServiceQueue, endpoint: Endpoint
+    ) -> _Outcome:
+        started_s = self._ports.now_s()
+        service_time_s = None
+        try:
+            operation.attempt += 1
+            self._check_startable(operation)
+            if not operation.idempotent and operation.token.standby != NO_MEMBER:
+                await self._claim(operation, endpoint)
+                self._check_startable(operation)
+            outcome = await self._attempt(operation, endpoint)
+            if outcome.end is _End.ANSWERED:
+                service_time_s = self._ports.now_s() - started_s
+            return outcome
+        finally:
+            queue.release(endpoint, service_time_s)
+
+    def _check_startable(self, operation: Operation) -> None:
+        # Read just before each step: the process may have been stopped for long.
+        if operation.cancelled:
+            raise RefusedError(Reason.CANCELLED, _MOVED_RETRY_S)
+        if self._ports.now_s() >= operation.deadline_at_s:
+            raise RefusedError(Reason.DEADLINE, _MOVED_RETRY_S)
+
+    async def _claim(self, operation: Operation, endpoint: Endpoint) -> None:
+        started_s = self._ports.now_s()
+        key = (operation.operation_id, operation.attempt)
+        reply = asyncio.get_running_loop().create_future()
+        self._claims[key] = reply
+        try:
+            granted = await self._ask_standby(operation, endpoint, reply, started_s)
+        finally:
+            del self._claims[key]
+
+        # A grant that was read late may be of a claim that the standby has since
+        # forgotten, so it counts only within the time a claim may take.
+        elapsed_s = self._ports.now_s() - started_s
+        if not granted or elapsed_s > self._claim_timeout_s:
+            self._counters["claim_failed"] += 1
+            raise RefusedError(Reason.MOVED, _MOVED_RETRY_S)
+
+    async def _ask_standby(
+        self,
+        operation: Operation,
+        endpoint: Endpoint,
+        reply: asyncio.Future[bool],
+        started_s: float,
+    ) -> bool:
+        while True:
+            now_s = self._ports.now_s()
+            if now_s - started_s >= self._claim_timeout_s:
+                return False
+            remaining_s = max(0.0, operation.deadline_at_s - now_s)
+            claim = Claim(
+                operation_id=operation.operation_id,
+                caller=operation.caller,
+                endpoint=endpoint.address,
+                deadline_ms=round(remaining_s * 1000),
+                service=operation.service,
+                attempt=operation.attempt,
+            )
+            standby = operation.token.standby.address
+            self._ports.send_peer(standby, Peer(claim=claim))
+            done, _ = await asyncio.wait([reply], timeout=_CLAIM_RESEND_S)
+            if done:
+                return reply.result()
+
+    def on_claim_reply(self, reply: ClaimReply) -> None:
+        """Take the standby's answer to a claim.
+
+        Parameters
+        ----------
+        reply : ClaimReply
+            The answer.
+        """
+        waiting = self._claims.get((reply.operation_id, reply.attempt))
+        if waiting is not None and not waiting.done():
+            waiting.set_result(reply.granted)
+
+    async def _attempt(self, operation: Operation, endpoint: Endpoint) -> _Outcome:
+        operation.endpoint = endpoint
+        operation.outcome = asyncio.get_running_loop().create_future()
+        self._dispatch(operation, endpoint)
+        self._counters["dispatched"] += 1
+        wait_s = operation.deadline_at_s - self._ports.now_s()
+        if operation.idempotent:
+            wait_s = min(wait_s, max(_LEAST_PATIENCE_S, wait_s / _PATIENCE_FACTOR))
+        try:
+            return await asyncio.wait_for(operation.outcome, wait_s)
+        except TimeoutError:
+            self._cancel_at_backend(operation)
+            return _Outcome(_End.TIMED_OUT)
+
+    def _dispatch(self, operation: Operation, endpoint: Endpoint) -> None:
+        label = OperationLabel(
+            operation.caller,
+            operation.token.owner if not operation.idempotent else self._ports.me(),
+            operation.token.standby,
+            operation.nonce,
+            operation.attempt,
+        )
+        remaining_s = operation.deadline_at_s - self._ports.now_s()
+        # Appended fields replace those of the caller's datagram (protocol buffers
+        # encoding: the last value of a field counts).
+        suffix = Envelope(
+            return_label=seal_operation_label(self._sealer, label),
+            incarnation=endpoint.incarnation,
+            attempt=operation.attempt,
+            deadline_ms=max(1, round(remaining_s * 1000)),
+        ).SerializeToString()
+        self._ports.send_backend(endpoint.address, operation.datagram + suffix)
+
+    def _cancel_at_backend(self, operation: Operation) -> None:
+        endpoint = operation.endpoint
+        if endpoint is None:
+            return
+        cancel = Envelope(
+            kind=Kind.CANCEL,
+            service=operation.service,
+            operation_id=operation.operation_id,
+            incarnation=endpoint.incarnation,
+            attempt=operation.attempt,
+        )
+        self._ports.send_backend(endpoint.address, cancel.SerializeToString())
+
+    def on_reply(
+        self, operation_id: bytes, label: OperationLabel, envelope: Envelope
+    ) -> None:
+        """Take a backend server's reply; late and crossed ones go nowhere.
+
+        Parameters
+        ----------
+        operation_id : bytes
+            The operation.
+        label : OperationLabel
+            The reply's label.
+        envelope : Envelope
+            The reply.
+        """
+        operation = self._table.find(operation_id)
+        if operation is None or operation.attempt != label.attempt:
+            self._counters["reply_late"] += 1
+            return
+        ends = {Kind.ANSWER: _End.ANSWERED, Kind.SHED: _End.SHED}
+        self._settle(operation, _Outcome(ends[envelope.kind], envelope))
+
+    @staticmethod
+    def _settle(operation: Operation, outcome: _Outcome) -> None:
+        if operation.outcome is not None and not operation.outcome.done():
+            operation.outcome.set_result(outcome)
+
+    def on_cancel(self, operation_id: bytes) -> None:
+        """Cancel an operation for its caller.
+
+        Parameters
+        ----------
+        operation_id : bytes
+            The operation.
+        """
+        operation = self._table.find(operation_id)
+        if operation is None or operation.verdict is not None:
+            return
+        operation.cancelled = True
+        self._cancel_at_backend(operation)
+        self._settle(operation, _Outcome(_End.CANCELLED))
+
+    def on_endpoint_gone(self, endpoint: Endpoint) -> None:
+        """Settle what was in flight at a backend server that died.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The backend server.
+        """
+        for operation in self._running:
+            if operation.endpoint is endpoint:
+                self._settle(operation, _Outcome(_End.LOST))
+
+    def _judge(
+        self,
+        operation: Operation,
+        queue: ServiceQueue,
+        endpoint: Endpoint,
+        outcome: _Outcome,
+    ) -> bytes | None:
+        operation.endpoint = None
+        operation.outcome = None
+        now_s = self._ports.now_s()
+        if outcome.end is _End.ANSWERED:
+            endpoint.succeed()
+            self._counters["answered"] += 1
+            return Envelope(
+                kind=Kind.ANSWER,
+                operation_id=operation.operation_id,
+                payload=outcome.reply.payload,
+                token=self._ports.fresh_token(operation.service),
+            ).SerializeToString()
+
+        if outcome.end is _End.SHED:
+            retry_after_s = outcome.reply.retry_after_ms / 1000
+            endpoint.fail(now_s, retry_after_s)
+            self._counters["shed"] += 1
+            if queue.spend_retry():
+                return None
+            raise RefusedError(Reason.OVERLOADED, max(retry_after_s, 0.05))
+
+        if outcome.end is not _End.CANCELLED:
+            endpoint.fail(now_s)
+        in_time = now_s < operation.deadline_at_s and not operation.cancelled
+        if operation.idempotent and in_time and queue.spend_retry():
+            self._counters["retried"] += 1
+            return None
+        return self._unknown(operation, outcome.end)
+
+    def _unknown(self, operation: Operation, end: _End) -> bytes:
+        self._counters["unknown"] += 1
+        reasons = {
+            _End.LOST: Reason.BACKEND_LOST,
+            _End.TIMED_OUT: Reason.DEADLINE,
+            _End.CANCELLED: Reason.CANCELLED,
+        }
+        fresh = self._ports.fresh_token(operation.service)
+        return unknown(operation.operation_id, reasons[end], fresh)
+
+    def expire(self) -> None:
+        """Drop verdicts whose retention is over."""
+        self._table.expire(self._ports.now_s())
--- /dev/null
+++ b/src/agatethread/settings/_checking.py
@@ -0,0 +1,215 @@
+"""Structure raw JSON into frozen data classes, with every fault named."""
+
+import dataclasses
+from collections.abc import Callable, Iterator
+from typing import Any, get_args, get_type_hints
+
+import cattrs
+import json5
+from cattrs.errors import (
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+)
+
+from agatethread.exceptions import FieldError
+from agatethread.settings._addresses import parse_address
+
+_UNITS = {
+    "_s": "seconds",
+    "_ms": "milliseconds",
+    "_bytes": "bytes",
+    "_ratio": "a share of 1",
+    "_count": "a count",
+}
+
+
+class _WrongValueError(Exception):
+    """A raw value does not have the expected type or range."""
+
+    def __init__(self, value: object, expected: str):
+        self.value = value
+        self.expected = expected
+        super().__init__(expected)
+
+
+def unit_of(name: str) -> str:
+    """Name the unit that a field's suffix stands for.
+
+    Parameters
+    ----------
+    name : str
+        Field name.
+
+    Returns
+    -------
+    str
+        The unit, or an empty string for a field without one.
+    """
+    for suffix, unit in _UNITS.items():
+        if name.endswith(suffix):
+            return unit
+    return ""
+
+
+def _strict(expected_type: type, name: str) -> Callable[[Any, Any], Any]:
+    def structure(value: Any, _: Any) -> Any:
+        is_bool = isinstance(value, bool)
+        if is_bool != (expected_type is bool):
+            raise _WrongValueError(value, name)
+        if expected_type is float and isinstance(value, int):
+            return float(value)
+        if not isinstance(value, expected_type):
+            raise _WrongValueError(value, name)
+        return value
+
+    return structure
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
+    for kind, name in (
+        (int, "an integer"),
+        (float, "a number"),
+        (str, "a string"),
+        (bool, "true or false"),
+    ):
+        converter.register_structure_hook(kind, _strict(kind, name))
+    return converter
+
+
+_CONVERTER = _make_converter()
+
+
+def _expected_with_unit(field: str, expected: str) -> str:
+    unit = unit_of(field.rpartition(".")[2])
+    return f"{expected} ({unit})" if unit else expected
+
+
+def _walk_faults(
+    source: str, path: str, error: BaseException, raw: Any
+) -> Iterator[FieldError]:
+    if isinstance(error, ClassValidationError):
+        with_notes, without_notes = error.group_exceptions()
+        for inner, note in with_notes:
+            field = f"{path}.{note.name}" if path else note.name
+            part = raw.get(note.name) if isinstance(raw, dict) else raw
+            yield from _walk_faults(source, field, inner, part)
+        for inner in without_notes:
+            yield from _walk_faults(source, path, inner, raw)
+        return
+    if isinstance(error, IterableValidationError):
+        with_notes, _ = error.group_exceptions()
+        for inner, note in with_notes:
+            part = raw[note.index] if isinstance(raw, list) else raw
+            yield from _walk_faults(source, f"{path}[{note.index}]", inner, part)
+        return
+    if isinstance(error, ForbiddenExtraKeysError):
+        for key in sorted(error.extra_fields):
+            field = f"{path}.{key}" if path else key
+            value = raw.get(key) if isinstance(raw, dict) else raw
+            yield FieldError(source, field, value, "no such field")
+        return
+    if isinstance(error, _WrongValueError):
+        expected = _expected_with_unit(path, error.expected)
+        yield FieldError(source, path, error.value, expected)
+        return
+    if isinstance(error, KeyError):
+        field = f"{path}.{error.args[0]}" if path else str(error.args[0])
+        yield FieldError(source, field, None, "a value; the field is required")
+        return
+    yield FieldError(source, path, raw, str(error) or "another type")
+
+
+def _nested_class(hint: Any) -> type | None:
+    candidates = (hint, *get_args(hint))
+    return next((kind for kind in candidates if dataclasses.is_dataclass(kind)), None)
+
+
+def _check_ranges(
+    source: str, path: str, data_class: type, raw: dict[str, Any]
+) -> Iterator[FieldError]:
+    hints = get_type_hints(data_class)
+    for field in dataclasses.fields(data_class):
+        if field.name not in raw:
+            continue
+        value = raw[field.name]
+        name = f"{path}.{field.name}" if path else field.name
+        nested = _nested_class(hints[field.name])
+        if nested is None:
+            yield from _check_value(source, name, value, field.metadata)
+        elif isinstance(value, dict):
+            yield from _check_ranges(source, name, nested, value)
+
+
+def _check_value(source: str, name: str, value: Any, rules: Any) -> Iterator[Any]:
+    low, high = rules.get("minimum"), rules.get("maximum")
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if low is not None and is_number and not low <= value <= high:
+        expected = f"between {low} and {high}"
+        yield FieldError(source, name, value, _expected_with_unit(name, expected))
+
+    choices = rules.get("choices")
+    for item in value if isinstance(value, list) else (value,):
+        if not isinstance(item, str):
+            continue
+        if choices and item not in choices:
+            yield FieldError(source, name, item, f"one of {', '.join(choices)}")
+        if rules.get("address") and item:
+            yield from _check_address(source, name, item)
+
+
+def _check_address(source: str, name: str, text: str) -> Iterator[FieldError]:
+    try:
+        parse_address(text)
+    except ValueError:
+        yield FieldError(source, name, text, "an address as IPv4:port")
+
+
+def structure_checked(
+    source: str,
+    text: str,
+    data_class: type,
+    group: type[ExceptionGroup],
+) -> Any:
+    """Read JSON with comments into a frozen data class.
+
+    Parameters
+    ----------
+    source : str
+        What to call the text in errors, usually its file's path.
+    text : str
+        JSON5 text.
+    data_class : type
+        Frozen data class; its fields' metadata may hold ``minimum``, ``maximum``,
+        ``choices`` and ``address``.
+    group : type
+        Exception group that carries the faults.
+
+    Returns
+    -------
+    object
+        An instance of `data_class`.
+
+    Raises
+    ------
+    ExceptionGroup
+        `group`, with a `FieldError` for each fault.
+    """
+    try:
+        raw = json5.loads(text)
+    except (ValueError, RecursionError) as error:
+        fault = FieldError(source, "(whole text)", str(error), "JSON with comments")
+        raise group(f"{source} can't be read", [fault]) from None
+    if not isinstance(raw, dict):
+        fault = FieldError(source, "(whole text)", type(raw).__name__, "an object")
+        raise group(f"{source} can't be read", [fault])
+
+    faults = list(_check_ranges(source, "", data_class, raw))
+    try:
+        data = _CONVERTER.structure(raw, data_class)
+    except ClassValidationError as error:
+        faults += _walk_faults(source, "", error, raw)
+    if faults:
+        raise group(f"{source} has faults", faults)
+    return data
--- /dev/null
+++ b/src/agatethread/settings/_loading.py
@@ -0,0 +1,80 @@
+"""Read a process's settings file."""
+
+from pathlib import Path
+
+from agatethread.exceptions import FieldError, SettingsError
+from agatethread.settings._checking import structure_checked
+from agatethread.settings._model import Settings
+
+
+def _cross_faults(source: str, settings: Settings) -> list[FieldError]:
+    faults = []
+    for role in settings.roles:
+        if getattr(settings, role) is None:
+            faults.append(FieldError(source, role, None, f"settings of role {role}"))
+    if settings.tls is None and not settings.plain_text:
+        faults.append(FieldError(source, "tls", None, "key files, or plain_text: true"))
+    control = settings.control
+    if control is not None and settings.name not in control.members:
+        faults.append(
+            FieldError(
+                source,
+                "control.members",
+                sorted(control.members),
+                f"this instance's name ({settings.name}) among them",
+            )
+        )
+    return faults
+
+
+def parse_settings(source: str, text: str) -> Settings:
+    """Check the text of a settings file.
+
+    Parameters
+    ----------
+    source : str
+        What to call the text in errors.
+    text : str
+        JSON with comments.
+
+    Returns
+    -------
+    Settings
+        The checked settings.
+
+    Raises
+    ------
+    SettingsError
+        With a `FieldError` for each fault.
+    """
+    settings = structure_checked(source, text, Settings, SettingsError)
+    faults = _cross_faults(source, settings)
+    if faults:
+        raise SettingsError(f"{source} has faults", faults)
+    return settings
+
+
+def load_settings(path: str) -> Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str
+        The file.
+
+    Returns
+    -------
+    Settings
+        The checked settings.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or has faults.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fault = FieldError(path, "(file)", str(error), "a readable UTF-8 file")
+        raise SettingsError(f"{path} can't be read", [fault]) from None
+    return parse_settings(path, text)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform: fabric, link, backend servers and callers."""
--- /dev/null
+++ b/standins/backend_server.py
@@ -0,0 +1,323 @@
+"""Stand-in backend server.
+
+It has slots, a connection limit, drain, cold start, shedding, deadlines, cancellation,
+and pushes on its streams.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import signal
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from agatethread.settings import parse_address
+from agatethread.wire import Announcement, Envelope, Kind, sign
+from standins.commands import serve_commands
+
+Address = tuple[str, int]
+
+_PUSH_RESEND_S = 0.3
+_STREAM_IDLE_S = 30.0
+_SHED_RETRY_MS = 50
+
+
+class _Stream:
+    def __init__(self, label: bytes, cookie: bytes):
+        self.label = label
+        self.cookie = cookie
+        self.sequence = 0
+        self.unacknowledged: dict[int, bytes] = {}
+        self.heard_s = time.monotonic()
+
+
+class BackendServer(asyncio.DatagramProtocol):
+    """Serves one service at one address.
+
+    Parameters
+    ----------
+    settings : dict
+        ``name``, ``service``, ``failure_domain``, ``listen``, ``instances``, ``slots``,
+        ``connection_limit``, ``service_time_ms``, ``push_interval_ms``,
+        ``announce_interval_ms``, ``cold_start_s``, ``seed``, ``announce_key``.
+    """
+
+    def __init__(self, settings: dict[str, Any]):
+        self._settings = settings
+        self._random = random.Random(settings["seed"])
+        self._incarnation = time.time_ns()
+        self._instances = [parse_address(text) for text in settings["instances"]]
+        self._streams: dict[int, _Stream] = {}
+        self._running: dict[tuple[bytes, int], asyncio.Task] = {}
+        self._sequence = 0
+        self._draining = False
+        self._started_s = time.monotonic()
+        self._sheds_all = False
+        self._lie: dict[str, int] | None = None
+        self._new_work: list[float] = []
+        self.runs: Counter[str] = Counter()
+        self.counts: Counter[str] = Counter()
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def error_received(self, exc: OSError) -> None:
+        """Ignore what could not be delivered."""
+
+    # -- announcements ------------------------------------------------------------
+
+    def announce(self, leaving: bool = False) -> None:
+        """Tell one or two entry instances of this backend server."""
+        self._sequence += 1
+        settings = self._settings
+        announcement = Announcement(
+            endpoint_id=settings["name"],
+            incarnation=self._incarnation,
+            service=settings["service"],
+            failure_domain=settings["failure_domain"],
+            slots=settings["slots"],
+            connection_limit=settings["connection_limit"],
+            lease_ms=3 * settings["announce_interval_ms"],
+            draining=self._draining,
+            leaving=leaving,
+            open_streams=len(self._streams),
+            in_flight=len(self._running),
+            sequence=self._sequence,
+        )
+        for field, value in (self._lie or {}).items():
+            setattr(announcement, field, value)
+        if settings["announce_key"]:
+            body = announcement.SerializeToString(deterministic=True)
+            announcement.mac = sign(bytes.fromhex(settings["announce_key"]), body)
+        envelope = Envelope(kind=Kind.ANNOUNCE, announcement=announcement)
+        count = min(2, len(self._instances))
+        for target in self._random.sample(self._instances, count):
+            self._transport.sendto(envelope.SerializeToString(), target)
+
+    async def announce_forever(self) -> None:
+        """Announce at the interval."""
+        while True:
+            self.announce()
+            await asyncio.sleep(self._settings["announce_interval_ms"] / 1000)
+
+    # -- datagrams ----------------------------------------------------------------
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Serve one datagram."""
+        envelope = Envelope.FromString(data)
+        kind = envelope.kind
+        if kind == Kind.ANNOUNCE_ACK:
+            if envelope.incarnation == self._incarnation:
+                self._instances = [parse_address(text) for text in envelope.instances]
+            return
+        if envelope.service != self._settings["service"]:
+            self.counts["misdelivered"] += 1
+            return
+        if envelope.incarnation != self._incarnation:
+            self.counts["wrong_incarnation"] += 1
+            return
+        if kind == Kind.OPEN:
+            self._on_open(envelope, addr)
+        elif kind == Kind.REQUEST:
+            self._on_request(envelope, addr)
+        elif kind == Kind.CANCEL:
+            self._on_cancel(envelope)
+        elif envelope.flow_id in self._streams:
+            self._on_stream(envelope, addr)
+        elif kind != Kind.CLOSE:
+            self.counts["unknown_flow"] += 1
+            self._reply(envelope, addr, Kind.CLOSED)
+
+    def _reply(self, envelope: Envelope, addr: Address, kind: int, **fields) -> None:
+        reply = Envelope(
+            kind=kind,
+            service=envelope.service,
+            flow_id=envelope.flow_id,
+            operation_id=envelope.operation_id,
+            attempt=envelope.attempt,
+            return_label=envelope.return_label,
+            cookie=envelope.cookie,
+            **fields,
+        )
+        self._transport.sendto(reply.SerializeToString(), addr)
+
+    def _on_open(self, envelope: Envelope, addr: Address) -> None:
+        if envelope.flow_id not in self._streams:
+            full = len(self._streams) >= self._settings["connection_limit"]
+            if full:
+                self.counts["over_connection_limit"] += 1
+            if full or self._draining or self._sheds_all:
+                self._reply(envelope, addr, Kind.SHED, retry_after_ms=_SHED_RETRY_MS)
+                return
+            self._new_work.append(time.time())
+            self._streams[envelope.flow_id] = _Stream(
+                envelope.return_label, envelope.cookie
+            )
+            self.counts["streams_opened"] += 1
+        self._reply(envelope, addr, Kind.OPENED)
+
+    def _on_stream(self, envelope: Envelope, addr: Address) -> None:
+        stream = self._streams[envelope.flow_id]
+        stream.heard_s = time.monotonic()
+        stream.label = envelope.return_label
+        if envelope.kind == Kind.CLOSE:
+            del self._streams[envelope.flow_id]
+            self._reply(envelope, addr, Kind.CLOSED)
+        elif envelope.kind == Kind.KEEPALIVE:
+            for sequence in list(stream.unacknowledged):
+                if sequence <= envelope.sequence:
+                    del stream.unacknowledged[sequence]
+            self._reply(envelope, addr, Kind.KEEPALIVE_ACK)
+        elif envelope.kind == Kind.DATA:
+            self.counts["data"] += 1
+
+    async def push_forever(self) -> None:
+        """Push a number to every stream at the interval."""
+        while True:
+            await asyncio.sleep(self._settings["push_interval_ms"] / 1000)
+            for flow_id, stream in list(self._streams.items()):
+                stream.sequence += 1
+                stream.unacknowledged[stream.sequence] = str(stream.sequence).encode()
+                self._push(flow_id, stream, stream.sequence)
+                if time.monotonic() - stream.heard_s > _STREAM_IDLE_S:
+                    del self._streams[flow_id]
+                    self.counts["streams_idle"] += 1
+
+    async def resend_forever(self) -> None:
+        """Push again what was not acknowledged, through another instance."""
+        while True:
+            await asyncio.sleep(_PUSH_RESEND_S)
+            for flow_id, stream in list(self._streams.items()):
+                for sequence in list(stream.unacknowledged)[:8]:
+                    if sequence < stream.sequence or len(stream.unacknowledged) == 1:
+                        self._push(flow_id, stream, sequence)
+
+    def _push(self, flow_id: int, stream: _Stream, sequence: int) -> None:
+        push = Envelope(
+            kind=Kind.PUSH,
+            service=self._settings["service"],
+            flow_id=flow_id,
+            return_label=stream.label,
+            sequence=sequence,
+            payload=stream.unacknowledged[sequence],
+        )
+        target = self._random.choice(self._instances)
+        self._transport.sendto(push.SerializeToString(), target)
+
+    # -- requests -----------------------------------------------------------------
+
+    def _on_request(self, envelope: Envelope, addr: Address) -> None:
+        key = (envelope.operation_id, envelope.attempt)
+        over = len(self._running) >= self._settings["slots"]
+        if over:
+            self.counts["over_slots"] += 1
+        if over or self._draining or self._sheds_all:
+            self.counts["shed"] += 1
+            self._reply(envelope, addr, Kind.SHED, retry_after_ms=_SHED_RETRY_MS)
+            return
+        self._new_work.append(time.time())
+        work = self._work(envelope, addr, key)
+        self._running[key] = asyncio.ensure_future(work)
+
+    async def _work(
+        self, envelope: Envelope, addr: Address, key: tuple[bytes, int]
+    ) -> None:
+        self.runs[envelope.payload.decode()] += 1
+        self.counts["requests_run"] += 1
+        mean_s = self._settings["service_time_ms"] / 1000
+        cold_s = self._settings["cold_start_s"]
+        if time.monotonic() - self._started_s < cold_s:
+            mean_s *= 2
+        try:
+            async with asyncio.timeout(envelope.deadline_ms / 1000):
+                await asyncio.sleep(self._random.uniform(0.5, 1.5) * mean_s)
+            payload = b"done:" + envelope.payload
+            self._reply(envelope, addr, Kind.ANSWER, payload=payload)
+        except TimeoutError:
+            self.counts["deadline_passed"] += 1
+        finally:
+            self._running.pop(key, None)
+
+    def _on_cancel(self, envelope: Envelope) -> None:
+        task = self._running.get((envelope.operation_id, envelope.attempt))
+        if task is not None:
+            self.counts["cancelled"] += 1
+            task.cancel()
+
+    # -- control ------------------------------------------------------------------
+
+    def on_command(self, command: dict[str, Any]) -> Any:
+        """Change behaviour, or tell the counts.
+
+        Parameters
+        ----------
+        command : dict
+            ``drain``, ``sheds_all``: flags; ``lie``: fields of the announcement to
+            replace; all optional.
+
+        Returns
+        -------
+        dict
+            Counts, runs by operation, and times of the last new work.
+        """
+        if "drain" in command:
+            self._draining = command["drain"]
+            self.announce()
+        self._sheds_all = command.get("sheds_all", self._sheds_all)
+        if "lie" in command:
+            self._lie = command["lie"]
+        return self.result()
+
+    def result(self) -> dict[str, Any]:
+        """Give the counts so far."""
+        return {
+            "name": self._settings["name"],
+            "service": self._settings["service"],
+            "counts": dict(self.counts),
+            "open_streams": len(self._streams),
+            "doubled": [name for name, count in self.runs.items() if count > 1][:20],
+            "last_new_work_s": self._new_work[-1] if self._new_work else 0.0,
+        }
+
+    async def stop(self) -> None:
+        """Finish what runs, say goodbye and write the result."""
+        self._draining = True
+        self.announce()
+        while self._running:
+            await asyncio.sleep(0.01)
+        self.announce(leaving=True)
+        result = self.result() | {"runs": dict(self.runs)}
+        Path(self._settings["result"]).write_text(json.dumps(result))
+
+
+async def _main(settings: dict[str, Any]) -> None:
+    loop = asyncio.get_running_loop()
+    _, server = await loop.create_datagram_endpoint(
+        lambda: BackendServer(settings), local_addr=parse_address(settings["listen"])
+    )
+    await serve_commands(settings["command"], server.on_command)
+    stopped = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    tasks = [
+        asyncio.ensure_future(work)
+        for work in (
+            server.announce_forever(),
+            server.push_forever(),
+            server.resend_forever(),
+        )
+    ]
+    await stopped.wait()
+    for task in tasks:
+        task.cancel()
+    await server.stop()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("settings")
+    options = parser.parse_args()
+    asyncio.run(_main(json.loads(Path(options.settings).read_text())))
--- /dev/null
+++ b/standins/commands.py
@@ -0,0 +1,73 @@
+"""Commands to a running stand-in: one JSON object in a datagram, echoed when done."""
+
+import asyncio
+import json
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from agatethread.settings import parse_address
+
+_TIMEOUT_S = 1.0
+_TRIES = 5
+
+
+class _CommandPort(asyncio.DatagramProtocol):
+    def __init__(self, handler: Callable[[dict[str, Any]], Any]):
+        self._handler = handler
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        result = self._handler(json.loads(data))
+        self._transport.sendto(json.dumps(result).encode(), addr)
+
+
+async def serve_commands(
+    address: str, handler: Callable[[dict[str, Any]], Any]
+) -> None:
+    """Listen for commands.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``.
+    handler : callable
+        Takes a command and returns what to answer.
+    """
+    loop = asyncio.get_running_loop()
+    await loop.create_datagram_endpoint(
+        lambda: _CommandPort(handler), local_addr=parse_address(address)
+    )
+
+
+def send_command(address: str, **command: Any) -> Any:
+    """Send a command and wait for its answer.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the stand-in.
+    **command
+        Fields of the command.
+
+    Returns
+    -------
+    object
+        The answer.
+
+    Raises
+    ------
+    TimeoutError
+        If there is none.
+    """
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as port:
+        port.settimeout(_TIMEOUT_S)
+        for _ in range(_TRIES):
+            port.sendto(json.dumps(command).encode(), parse_address(address))
+            try:
+                return json.loads(port.recv(65_536))
+            except TimeoutError:
+                continue
+    raise TimeoutError(f"{address} does not answer")
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,527 @@
+"""Run a whole fleet as separate processes on the loopback addresses."""
+
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from standins.commands import send_command
+from standins.layouts import Layout, ServiceLayout
+
+_ROOT = Path(__file__).resolve().parent.parent
+_READY_TIMEOUT_S = 15.0
+_STOP_TIMEOUT_S = 20.0
+
+
+@dataclass(frozen=True)
+class Node:
+    """One process of the fleet."""
+
+    name: str
+    kind: str
+    failure_domain: str
+    command: tuple[str, ...]
+    control_port: str = ""
+
+
+def _free_address(kind: int = socket.SOCK_DGRAM) -> str:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Fleet:
+    """Writes settings into a folder and starts, stops and kills processes.
+
+    Parameters
+    ----------
+    layout : Layout
+        Where everything stands.
+    folder : Path
+        For settings, logs, data and results.
+    seed : int, default=1
+        Of all the stand-ins.
+    entry_settings, control_settings, caller_settings, backend_settings : dict, optional
+        Replace single settings of each such process.
+    """
+
+    def __init__(
+        self,
+        layout: Layout,
+        folder: Path,
+        seed: int = 1,
+        entry_settings: dict[str, Any] | None = None,
+        control_settings: dict[str, Any] | None = None,
+        caller_settings: dict[str, Any] | None = None,
+        backend_settings: dict[str, Any] | None = None,
+    ):
+        self.layout = layout
+        self.folder = folder
+        self.seed = seed
+        self._entry_settings = entry_settings or {}
+        self._control_settings = control_settings or {}
+        self._caller_settings = caller_settings or {}
+        self._backend_settings = backend_settings or {}
+        self.nodes: dict[str, Node] = {}
+        self.processes: dict[str, subprocess.Popen] = {}
+        self._link_nodes: list[dict[str, str]] = []
+        self._public: dict[str, str] = {}
+        self._admin: dict[str, str] = {}
+        self._listen: dict[str, str] = {}
+        self.service_addresses = {name: _free_address() for name in layout.services}
+        self._write_settings()
+
+    # -- settings -----------------------------------------------------------------
+
+    def _domain(self, number: int) -> str:
+        return self.layout.domains[number % len(self.layout.domains)]
+
+    def _write(self, name: str, data: dict[str, Any]) -> str:
+        path = self.folder / f"{name}.json5"
+        path.write_text(json.dumps(data, indent=2))
+        return str(path)
+
+    def _write_settings(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        (self.folder / "seal.key").write_text(secrets.token_hex(32))
+        self._announce_key = secrets.token_hex(32)
+        (self.folder / "announce.key").write_text(self._announce_key)
+        self._write_control()
+        self._write_entries()
+        for service, layout in self.layout.services.items():
+            for number in range(layout.endpoint_count):
+                self._write_backend(service, layout, number)
+        self._write_fabric_and_link()
+        self._write_caller()
+
+    def _write_control(self) -> None:
+        names = [f"control-{n + 1}" for n in range(self.layout.control_count)]
+        members = {name: _free_address(socket.SOCK_STREAM) for name in names}
+        for number, name in enumerate(names):
+            self._admin[name] = members[name]
+            settings = {
+                "name": name,
+                "failure_domain": self._domain(number),
+                "roles": ["control"],
+                "admin": members[name],
+                "plain_text": True,
+                "control": {
+                    "data_dir": str(self.folder / f"{name}.data"),
+                    "members": members,
+                }
+                | self._control_settings,
+            }
+            path = self._write(name, settings)
+            self._add_daemon(name, "control", self._domain(number), path)
+
+    def _add_daemon(self, name: str, kind: str, domain: str, path: str) -> None:
+        command = (sys.executable, "-m", "agatethread", "--config", path)
+        self.nodes[name] = Node(name, kind, domain, command)
+
+    def _public_address(self, name: str, domain: str, real: str) -> str:
+        public = _free_address()
+        self._public[name] = public
+        node = {"name": name, "real": real, "public": public, "failure_domain": domain}
+        self._link_nodes.append(node)
+        return public
+
+    def _write_entries(self) -> None:
+        control = [self._admin[name] for name in self._admin]
+        names = [f"entry-{n + 1}" for n in range(self.layout.entry_count)]
+        inner = {name: _free_address() for name in names}
+        for number, name in enumerate(names):
+            self._public_address(name, self._domain(number), inner[name])
+        for number, name in enumerate(names):
+            self._admin[name] = _free_address(socket.SOCK_STREAM)
+            self._listen[name] = _free_address()
+            settings = {
+                "name": name,
+                "failure_domain": self._domain(number),
+                "roles": ["entry"],
+                "admin": self._admin[name],
+                "plain_text": True,
+                "entry": {
+                    "listen": self._listen[name],
+                    "inner": inner[name],
+                    "inner_advertised": self._public[name],
+                    "seeds": [self._public[seed] for seed in names[:3]],
+                    "control": control,
+                    "seal_key_file": str(self.folder / "seal.key"),
+                    "announce_key_file": str(self.folder / "announce.key"),
+                }
+                | self._entry_settings,
+            }
+            path = self._write(name, settings)
+            self._add_daemon(name, "entry", self._domain(number), path)
+
+    def _write_backend(self, service: str, layout: ServiceLayout, number: int) -> None:
+        name = f"{service}-{number + 1}"
+        domain = self._domain(number)
+        listen = _free_address()
+        self._public_address(name, domain, listen)
+        seeds = [
+            self._public[node.name]
+            for node in self.nodes.values()
+            if node.kind == "entry" and node.failure_domain == domain
+        ]
+        settings = {
+            "name": name,
+            "service": service,
+            "failure_domain": domain,
+            "listen": listen,
+            "instances": seeds,
+            "slots": layout.slots,
+            "connection_limit": layout.connection_limit,
+            "service_time_ms": layout.service_time_ms,
+            "push_interval_ms": 1000,
+            "announce_interval_ms": 1000,
+            "cold_start_s": 1.0,
+            "announce_key": self._announce_key,
+        } | self._backend_settings
+        self._add_standin(name, "backend", domain, "backend_server", settings)
+
+    def _add_standin(
+        self, name: str, kind: str, domain: str, module: str, settings: dict[str, Any]
+    ) -> None:
+        address = _free_address()
+        settings |= {
+            "command": address,
+            "seed": self.seed * 1000 + len(self.nodes),
+            "result": str(self.folder / f"{name}.result"),
+        }
+        path = self._write(name, settings)
+        command = (sys.executable, "-m", f"standins.{module}", path)
+        self.nodes[name] = Node(name, kind, domain, command, address)
+
+    def _write_fabric_and_link(self) -> None:
+        link = {"nodes": self._link_nodes, "delay_ms": self.layout.domain_delay_ms}
+        self._add_standin("link", "link", "", "link", link)
+        fabric = {
+            "services": self.service_addresses,
+            "instances": self._listen,
+            "delay_ms": self.layout.caller_delay_ms,
+        }
+        self._add_standin("fabric", "fabric", "", "fabric", fabric)
+
+    def _write_caller(self) -> None:
+        services = {
+            name: {
+                "address": self.service_addresses[name],
+                "streams": layout.stream_count,
+                "requests_per_s": layout.requests_per_s,
+                "idempotent_share": layout.idempotent_share,
+            }
+            for name, layout in self.layout.services.items()
+        }
+        settings = {
+            "name": "caller",
+            "services": services,
+            "timeout_s": 5.0,
+            "sockets": 8,
+            "partner": "",
+        } | self._caller_settings
+        self._add_standin("caller", "caller", "", "caller", settings)
+
+    # -- processes ----------------------------------------------------------------
+
+    def start(self, *names: str) -> None:
+        """Start processes.
+
+        Parameters
+        ----------
+        *names : str
+            Their names.
+        """
+        environment = os.environ | {"PYTHONPATH": str(_ROOT), "PYTHONUNBUFFERED": "1"}
+        for name in names:
+            with open(self.folder / f"{name}.log", "ab") as output:
+                self.processes[name] = subprocess.Popen(
+                    self.nodes[name].command,
+                    stdout=output,
+                    stderr=output,
+                    env=environment,
+                    cwd=self.folder,
+                )
+
+    def start_all(self, with_caller: bool = True) -> None:
+        """Start the fleet, have its documents accepted, then start the callers.
+
+        Parameters
+        ----------
+        with_caller : bool, default=True
+            Whether to start the callers.
+        """
+        self.start(*(name for name in self.nodes if name != "caller"))
+        for service in self.layout.services:
+            self.apply(service, 1)
+        self.wait_for(self._all_ready, "the fleet")
+        if with_caller:
+            self.start("caller")
+
+    def _all_ready(self) -> bool:
+        endpoint_count = sum(
+            layout.endpoint_count for layout in self.layout.services.values()
+        )
+        for name in self.names("entry"):
+            state = self.dump(name)
+            if state is None:
+                return False
+            entry = state["entry"]
+            if len(entry["documents"]) < len(self.layout.services):
+                return False
+            if any(member["joining"] for member in entry["members"]):
+                return False
+            if entry["members_total"] < self.layout.entry_count:
+                return False
+            if entry["endpoints_total"] < endpoint_count:
+                return False
+        return True
+
+    def names(self, kind: str) -> list[str]:
+        """List the nodes of a kind.
+
+        Parameters
+        ----------
+        kind : str
+            ``entry``, ``control`` or ``backend``.
+
+        Returns
+        -------
+        list of str
+            Names.
+        """
+        return [node.name for node in self.nodes.values() if node.kind == kind]
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process that this fleet started.
+
+        Parameters
+        ----------
+        name : str
+            The process.
+        number : int
+            The signal.
+        """
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once.
+
+        Parameters
+        ----------
+        name : str
+            The process.
+        """
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+
+    def stop(self, *names: str) -> None:
+        """Stop processes gracefully and wait for their end.
+
+        Parameters
+        ----------
+        *names : str
+            Their names.
+        """
+        for name in names:
+            self.signal(name, signal.SIGTERM)
+        for name in names:
+            self.processes[name].wait(_STOP_TIMEOUT_S)
+
+    def stop_all(self) -> None:
+        """End everything: callers and backend servers with their results."""
+        running = [
+            name for name, process in self.processes.items() if process.poll() is None
+        ]
+        try:
+            self.stop(*(name for name in running if name == "caller"))
+            self.stop(*(name for name in running if self.nodes[name].kind == "backend"))
+        finally:
+            for name in running:
+                if self.processes[name].poll() is None:
+                    self.signal(name, signal.SIGCONT)
+                    self.kill(name)
+
+    # -- questions ----------------------------------------------------------------
+
+    def command(self, name: str, **command: Any) -> Any:
+        """Send a command to a stand-in.
+
+        Parameters
+        ----------
+        name : str
+            The stand-in.
+        **command
+            The command.
+
+        Returns
+        -------
+        object
+            Its answer.
+        """
+        return send_command(self.nodes[name].control_port, **command)
+
+    def ctl(self, *arguments: str, timeout_s: float = 10.0) -> tuple[int, str, str]:
+        """Run the operators' command.
+
+        Parameters
+        ----------
+        *arguments : str
+            Its arguments.
+        timeout_s : float, default=10.0
+            Its time limit.
+
+        Returns
+        -------
+        tuple of (int, str, str)
+            Exit code, output, errors.
+        """
+        control = ",".join(self._admin[name] for name in self.names("control"))
+        command = (
+            sys.executable,
+            "-c",
+            "from agatethread.cli import run_ctl; run_ctl()",
+            "--plain-text",
+            "--control",
+            control,
+            "--timeout-s",
+            str(timeout_s),
+            *arguments,
+        )
+        done = subprocess.run(
+            command, capture_output=True, text=True, timeout=timeout_s + 20
+        )
+        return done.returncode, done.stdout, done.stderr
+
+    def dump(self, name: str) -> dict[str, Any] | None:
+        """Read a process's state.
+
+        Parameters
+        ----------
+        name : str
+            An instance.
+
+        Returns
+        -------
+        dict or None
+            None if it does not answer.
+        """
+        code, output, _ = self.ctl("dump", self._admin[name], timeout_s=2.0)
+        return json.loads(output) if code == 0 else None
+
+    def document(self, service: str, version: int, **fields: Any) -> str:
+        """Write a service document.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        version : int
+            Its version.
+        **fields
+            Further fields.
+
+        Returns
+        -------
+        str
+            The file.
+        """
+        urgency = self.layout.services[service].urgency
+        data = {"service": service, "version": version, "urgency": urgency} | fields
+        path = self.folder / f"{service}-{version}.document"
+        path.write_text("// kept as written\n" + json.dumps(data, indent=2))
+        return str(path)
+
+    def apply(self, service: str, version: int, **fields: Any) -> float:
+        """Have a document accepted and wait until it is in force everywhere.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        version : int
+            Its version.
+        **fields
+            Further fields.
+
+        Returns
+        -------
+        float
+            Seconds until it was in force.
+
+        Raises
+        ------
+        RuntimeError
+            If it was refused or did not come into force.
+        """
+        path = self.document(service, version, **fields)
+        code, output, errors = self.ctl(
+            "--json", "apply", path, "--wait-s", "10", timeout_s=20.0
+        )
+        if code != 0:
+            raise RuntimeError(f"{service} version {version}: {output}{errors}")
+        _, _, rest = output.partition("}\n")
+        return json.loads(rest)["in_force_s"]
+
+    def wait_for(self, condition, what: str, timeout_s: float = _READY_TIMEOUT_S):
+        """Wait until something holds.
+
+        Parameters
+        ----------
+        condition : callable
+            Returns whether it does.
+        what : str
+            For the error.
+        timeout_s : float
+            Longest time.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not in time.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > deadline_s:
+                raise TimeoutError(f"{what} not ready after {timeout_s} s")
+            time.sleep(0.1)
+
+    def result(self, name: str) -> dict[str, Any]:
+        """Read what a stopped stand-in wrote.
+
+        Parameters
+        ----------
+        name : str
+            The stand-in.
+
+        Returns
+        -------
+        dict
+            Its result.
+        """
+        return json.loads((self.folder / f"{name}.result").read_text())
+
+
+def scaled(layout: Layout, **services: ServiceLayout) -> Layout:
+    """Copy a layout with other services.
+
+    Parameters
+    ----------
+    layout : Layout
+        The layout.
+    **services : ServiceLayout
+        Services by name.
+
+    Returns
+    -------
+    Layout
+        The copy.
+    """
+    return replace(layout, services=services)
