--- a/demo/run.py
+++ b/demo/run.py
@@ -93,7 +93,7 @@
 
 def _apply_in_force(fleet: Fleet, service: str) -> float:
     # The killed instance never acknowledges; it is not among those waited for.
-    path = fleet.document(service, 2, note="applied by the demo", queue_limit_count=80)
+    path = fleet.document(service, 2, note="applied by the demo")
     started_s = time.monotonic()
     code, _, errors = fleet.ctl("apply", path)
     if code != 0:
--- a/src/agatethread/cli/__init__.py
+++ b/src/agatethread/cli/__init__.py
@@ -1,6 +1,7 @@
 """The daemon's and the operators' commands."""
 
+from agatethread.cli._calls import ControlTarget, dump_instance
 from agatethread.cli._ctl import run_ctl
 from agatethread.cli._daemon import run_daemon
 
-__all__ = ["run_ctl", "run_daemon"]
+__all__ = ["ControlTarget", "dump_instance", "run_ctl", "run_daemon"]
--- a/src/agatethread/entry/_announcements.py
+++ b/src/agatethread/entry/_announcements.py
@@ -1,5 +1,6 @@
 """Announcements of backend servers: checked, told on, and their leases held."""
 
+import random
 from collections.abc import Callable
 
 from agatethread.exceptions import DatagramError, SealError
@@ -75,6 +76,24 @@
         self._on_changed = on_changed
         self._on_gone = on_gone
         self._counters = counters
+        self._held: set[str] = set()
+        self._domains: set[str] = set()
+        members.subscribe(self._on_member_changed)
+
+    def _on_member_changed(self, _: Member) -> None:
+        # What this instance did not hold, or could not hear, was not refreshed here:
+        # it gets the time of one lease to be heard of.
+        held = set(filter(self._is_holder, self._endpoints.services()))
+        domains = {member.failure_domain for member in self._members.live()}
+        now_s = self._now_s()
+        for endpoint in self._endpoints.by_address.values():
+            is_new = endpoint.service in held - self._held
+            if (
+                is_new
+                or endpoint.announcement.failure_domain in domains - self._domains
+            ):
+                endpoint.extend_lease(now_s)
+        self._held, self._domains = held, domains
 
     def on_announce(self, envelope: Envelope, source: bytes) -> None:
         """Take an announcement that a backend server sent here.
@@ -184,6 +203,42 @@
             self._tell(ended, Heard.CHANGED)
         self._endpoints.forget_gone(now_s, _GONE_KEPT_S)
 
+    def tell_newcomer(self, member: Member) -> None:
+        """Send a new instance what this one holds the leases of.
+
+        Parameters
+        ----------
+        member : Member
+            The new instance.
+        """
+        for endpoint in list(self._endpoints.by_address.values()):
+            if self._is_dispatcher(endpoint.service):
+                self._send_to(member, endpoint)
+
+    def repair(self) -> None:
+        """Send one backend server's state to one instance, both at random.
+
+        This mends what was lost on the way when the state changed.
+        """
+        peers = self._members.live_peers()
+        held = [
+            endpoint
+            for endpoint in self._endpoints.by_address.values()
+            if self._is_dispatcher(endpoint.service)
+        ]
+        if peers and held:
+            self._send_to(random.choice(peers), random.choice(held))
+
+    def _is_dispatcher(self, service: str) -> bool:
+        holders = self._holders(service)
+        return bool(holders) and holders[0].name == self._members.me.name
+
+    def _send_to(self, member: Member, endpoint: Endpoint) -> None:
+        announcement = Announcement()
+        announcement.CopyFrom(endpoint.announcement)
+        announcement.address = endpoint.address
+        self._send_peer(member.address, Peer(announcement=announcement))
+
 
 def _check(announcement: Announcement) -> None:
     if not announcement.service or not announcement.endpoint_id:
--- a/src/agatethread/entry/_instance.py
+++ b/src/agatethread/entry/_instance.py
@@ -50,6 +50,7 @@
 )
 
 _SWEEP_INTERVAL_S = 0.1
+_REPAIR_INTERVAL_S = 1.0
 #: Time for the fabric and the peers to learn that this instance is leaving.
 _LEAVE_NOTICE_S = 1.0
 _STOP_POLL_S = 0.05
@@ -101,6 +102,7 @@
         self.book = DocumentBook()
         self._dispatched: set[str] = set()
         self._stopping = False
+        self._greeted: set[MemberRef] = set()
 
     def _build_desks(self, entry) -> None:
         now_s = self.timers.now_s
@@ -180,6 +182,7 @@
             drain_into(self._inner_socket, self._on_inner_datagram, self.counters),
         )
         self.timers.subscribe(_SWEEP_INTERVAL_S, self._sweep)
+        self.timers.subscribe(_REPAIR_INTERVAL_S, self.announcements.repair)
         self.add_future(self._warm_up())
         log.info("entry instance started", listen=self.settings.entry.listen)
 
@@ -295,7 +298,7 @@
                 self._note_stream_reply(envelope, label)
             return
         if kind in (Kind.ANSWER, Kind.SHED):
-            if self.requests.on_backend_reply(data, envelope):
+            if self.requests.on_backend_reply(data, envelope, pack_address(source)):
                 return
             self._on_stream_shed(envelope, source)
             return
@@ -334,7 +337,7 @@
         elif envelope.kind == Kind.CANCEL:
             self.requests.on_relayed_cancel(envelope)
         elif envelope.kind in (Kind.ANSWER, Kind.SHED):
-            if not self.requests.on_relayed_reply(envelope):
+            if not self.requests.on_relayed_reply(envelope, relay.caller):
                 self._on_stream_shed(envelope, unpack_address(relay.caller))
 
     def _on_hello(self, envelope: Envelope, source: Address) -> None:
@@ -435,7 +438,12 @@
             self.members.change_me(state=MemberState.ALIVE)
             self.prober.tell_all()
 
-    def _on_member_changed(self, _: Member) -> None:
+    def _on_member_changed(self, member: Member) -> None:
+        if member.state == MemberState.ALIVE and member.ref not in self._greeted:
+            self._greeted.add(member.ref)
+            self.announcements.tell_newcomer(member)
+        elif member.state == MemberState.DEAD:
+            self._greeted.discard(member.ref)
         now_s = self.timers.now_s()
         for service in self.endpoints.services():
             if not self.is_dispatcher(service):
--- a/src/agatethread/entry/_requests.py
+++ b/src/agatethread/entry/_requests.py
@@ -18,6 +18,7 @@
 from agatethread.wire import (
     NO_MEMBER,
     Envelope,
+    Kind,
     MemberRef,
     OperationLabel,
     Peer,
@@ -222,7 +223,7 @@
         """
         self.owner.on_cancel(envelope.operation_id)
 
-    def on_backend_reply(self, data: bytes, envelope: Envelope) -> bool:
+    def on_backend_reply(self, data: bytes, envelope: Envelope, source: bytes) -> bool:
         """Take a backend server's reply to an operation.
 
         Parameters
@@ -231,6 +232,8 @@
             The datagram.
         envelope : Envelope
             The datagram, decoded.
+        source : bytes
+            Packed address of the backend server.
 
         Returns
         -------
@@ -248,26 +251,29 @@
 
         me = self._members.me.ref
         if label.owner != me and self._ports.is_alive(label.owner):
-            self._relay_reply(label.owner, data)
-        elif label.owner != me and label.standby != me:
-            self._relay_reply(label.standby, data)
+            self._relay_reply(label.owner, data, source)
+        elif me not in (label.owner, label.standby):
+            self._relay_reply(label.standby, data, source)
         else:
-            self._settle_here(label, envelope)
+            self._settle_here(label, envelope, source)
         return True
 
-    def _relay_reply(self, target: MemberRef, data: bytes) -> None:
+    def _relay_reply(self, target: MemberRef, data: bytes, source: bytes) -> None:
         if target == NO_MEMBER:
             self._counters["reply_without_home"] += 1
             return
-        self._ports.send_peer(target.address, Peer(relay=Relay(datagram=data)))
+        relay = Relay(caller=source, datagram=data)
+        self._ports.send_peer(target.address, Peer(relay=relay))
 
-    def on_relayed_reply(self, envelope: Envelope) -> bool:
+    def on_relayed_reply(self, envelope: Envelope, source: bytes) -> bool:
         """Take a backend server's reply that another instance sent on.
 
         Parameters
         ----------
         envelope : Envelope
             The reply.
+        source : bytes
+            Packed address of the backend server.
 
         Returns
         -------
@@ -277,18 +283,27 @@
         label = parse_label(self._sealer, envelope.return_label)
         if not isinstance(label, OperationLabel):
             return False
-        self._settle_here(label, envelope)
+        self._settle_here(label, envelope, source)
         return True
 
-    def _settle_here(self, label: OperationLabel, envelope: Envelope) -> None:
+    def _settle_here(
+        self, label: OperationLabel, envelope: Envelope, source: bytes
+    ) -> None:
         operation_id = envelope.operation_id
         if operation_id_parts(operation_id)[1] != label.nonce:
             self._counters["reply_crossed"] += 1
             return
         if label.owner == self._members.me.ref:
             self.owner.on_reply(operation_id, label, envelope)
-            return
-        self.claims.on_reply(operation_id, label, envelope)
+        else:
+            self.claims.on_reply(operation_id, label, envelope)
+        received = Envelope(
+            kind=Kind.RECEIVED,
+            service=envelope.service,
+            operation_id=operation_id,
+            attempt=envelope.attempt,
+        )
+        self._ports.send_backend(source, received.SerializeToString())
 
     def pump(self, service: str) -> None:
         """Give out slots that a backend server's change has opened.
--- a/src/agatethread/routing/_endpoints.py
+++ b/src/agatethread/routing/_endpoints.py
@@ -143,6 +143,17 @@
         self.inherited_in_flight = max(0, reported.in_flight - self.in_flight)
         self.inherited_until_s = now_s + _INHERITED_LIFETIME_S
 
+    def extend_lease(self, now_s: float) -> None:
+        """Give it the time of one lease, without having heard of it.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time.
+        """
+        lease_until_s = now_s + self.announcement.lease_ms / 1000
+        self.lease_until_s = max(self.lease_until_s, lease_until_s)
+
     def succeed(self) -> None:
         """Note that it did its work."""
         self.failures = 0
--- a/src/agatethread/settings/_document.py
+++ b/src/agatethread/settings/_document.py
@@ -20,7 +20,7 @@
     #: 0 is served first, 9 is shed first.
     urgency: int = _bounded(5, 0, 9)
     #: Longest queue of requests waiting for a slot.
-    queue_limit_count: int = _bounded(64, 0, 100_000)
+    queue_limit_count: int = _bounded(1_000, 0, 100_000)
     #: Budget of retries, as a share of requests.
     retry_ratio: float = _bounded(0.2, 0.0, 1.0)
     #: Time over which a new backend server's share grows to full.
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -21,6 +21,8 @@
 Address = tuple[str, int]
 
 _PUSH_RESEND_S = 0.3
+#: How long an answer that nobody acknowledged is sent again.
+_ANSWER_KEPT_S = 5.0
 _STREAM_IDLE_S = 30.0
 _SHED_RETRY_MS = 50
 
@@ -52,6 +54,7 @@
         self._instances = [parse_address(text) for text in settings["instances"]]
         self._streams: dict[int, _Stream] = {}
         self._running: dict[tuple[bytes, int], asyncio.Task] = {}
+        self._unreceived: dict[tuple[bytes, int], tuple[bytes, float]] = {}
         self._sequence = 0
         self._draining = False
         self._started_s = time.monotonic()
@@ -110,6 +113,9 @@
         """Serve one datagram."""
         envelope = Envelope.FromString(data)
         kind = envelope.kind
+        if kind == Kind.RECEIVED:
+            self._unreceived.pop((envelope.operation_id, envelope.attempt), None)
+            return
         if kind == Kind.ANNOUNCE_ACK:
             if envelope.incarnation == self._incarnation:
                 self._instances = [parse_address(text) for text in envelope.instances]
@@ -132,7 +138,7 @@
             self.counts["unknown_flow"] += 1
             self._reply(envelope, addr, Kind.CLOSED)
 
-    def _reply(self, envelope: Envelope, addr: Address, kind: int, **fields) -> None:
+    def _reply(self, envelope: Envelope, addr: Address, kind: int, **fields) -> bytes:
         reply = Envelope(
             kind=kind,
             service=envelope.service,
@@ -143,7 +149,9 @@
             cookie=envelope.cookie,
             **fields,
         )
-        self._transport.sendto(reply.SerializeToString(), addr)
+        data = reply.SerializeToString()
+        self._transport.sendto(data, addr)
+        return data
 
     def _on_open(self, envelope: Envelope, addr: Address) -> None:
         if envelope.flow_id not in self._streams:
@@ -191,11 +199,20 @@
         """Push again what was not acknowledged, through another instance."""
         while True:
             await asyncio.sleep(_PUSH_RESEND_S)
+            self._resend_answers()
             for flow_id, stream in list(self._streams.items()):
                 for sequence in list(stream.unacknowledged)[:8]:
                     if sequence < stream.sequence or len(stream.unacknowledged) == 1:
                         self._push(flow_id, stream, sequence)
 
+    def _resend_answers(self) -> None:
+        now_s = time.monotonic()
+        for key, (answer, until_s) in list(self._unreceived.items()):
+            if until_s < now_s:
+                del self._unreceived[key]
+                continue
+            self._transport.sendto(answer, self._random.choice(self._instances))
+
     def _push(self, flow_id: int, stream: _Stream, sequence: int) -> None:
         push = Envelope(
             kind=Kind.PUSH,
@@ -236,7 +253,8 @@
             async with asyncio.timeout(envelope.deadline_ms / 1000):
                 await asyncio.sleep(self._random.uniform(0.5, 1.5) * mean_s)
             payload = b"done:" + envelope.payload
-            self._reply(envelope, addr, Kind.ANSWER, payload=payload)
+            answer = self._reply(envelope, addr, Kind.ANSWER, payload=payload)
+            self._unreceived[key] = (answer, time.monotonic() + _ANSWER_KEPT_S)
         except TimeoutError:
             self.counts["deadline_passed"] += 1
         finally:
@@ -287,8 +305,9 @@
         """Finish what runs, say goodbye and write the result."""
         self._draining = True
         self.announce()
-        while self._running:
-            await asyncio.sleep(0.01)
+        while self._running or self._unreceived:
+            await asyncio.sleep(_PUSH_RESEND_S / 10)
+            self._resend_answers()
         self.announce(leaving=True)
         result = self.result() | {"runs": dict(self.runs)}
         Path(self._settings["result"]).write_text(json.dumps(result))
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,7 +1,10 @@
 """Run a whole fleet as separate processes on the loopback addresses."""
 
+import asyncio
+import itertools
 import json
 import os
+import random
 import secrets
 import signal
 import socket
@@ -12,12 +15,15 @@
 from pathlib import Path
 from typing import Any
 
+from agatethread.cli import ControlTarget, dump_instance
+from agatethread.exceptions import UnavailableError
 from standins.commands import send_command
 from standins.layouts import Layout, ServiceLayout
 
 _ROOT = Path(__file__).resolve().parent.parent
 _READY_TIMEOUT_S = 15.0
 _STOP_TIMEOUT_S = 20.0
+_DUMP_TIMEOUT_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -31,10 +37,21 @@
     control_port: str = ""
 
 
-def _free_address(kind: int = socket.SOCK_DGRAM) -> str:
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+#: Below the range from which the kernel picks ports for outgoing connections.
+_PORTS = itertools.cycle(range(12_000, 30_000))
+next(itertools.islice(_PORTS, random.randrange(18_000), None))
+
+
+def _free_address() -> str:
+    while True:
+        port = next(_PORTS)
+        try:
+            for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return f"127.0.0.1:{port}"
 
 
 class Fleet:
@@ -103,7 +120,7 @@
 
     def _write_control(self) -> None:
         names = [f"control-{n + 1}" for n in range(self.layout.control_count)]
-        members = {name: _free_address(socket.SOCK_STREAM) for name in names}
+        members = {name: _free_address() for name in names}
         for number, name in enumerate(names):
             self._admin[name] = members[name]
             settings = {
@@ -139,7 +156,7 @@
         for number, name in enumerate(names):
             self._public_address(name, self._domain(number), inner[name])
         for number, name in enumerate(names):
-            self._admin[name] = _free_address(socket.SOCK_STREAM)
+            self._admin[name] = _free_address()
             self._listen[name] = _free_address()
             settings = {
                 "name": name,
@@ -413,8 +430,11 @@
         dict or None
             None if it does not answer.
         """
-        code, output, _ = self.ctl("dump", self._admin[name], timeout_s=2.0)
-        return json.loads(output) if code == 0 else None
+        target = ControlTarget((), _DUMP_TIMEOUT_S)
+        try:
+            return asyncio.run(dump_instance(target, self._admin[name]))
+        except UnavailableError:
+            return None
 
     def document(self, service: str, version: int, **fields: Any) -> str:
         """Write a service document.
