--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each command prints JSON and is seeded."""
--- a/src/agatethread/entry/_forwarding.py
+++ b/src/agatethread/entry/_forwarding.py
@@ -86,15 +86,11 @@
         SealError
             If its cookie is not ours.
         """
-        key = (envelope.cookie, caller)
-        route = self._routes.get(key)
+        route = self._routes.get((envelope.cookie, caller))
         if route is None:
             route = self._find_route(envelope, caller)
             if route is None:
                 return False
-            if len(self._routes) >= _CACHE_COUNT:
-                self._routes.clear()
-            self._routes[key] = route
 
         target, suffix, service, flow_id = route
         if envelope.flow_id != flow_id or envelope.service != service:
@@ -122,7 +118,11 @@
             incarnation=cookie.incarnation,
         ).SerializeToString()
         target = unpack_address(cookie.endpoint)
-        return target, suffix, envelope.service, cookie.flow_id
+        route = (target, suffix, envelope.service, cookie.flow_id)
+        if len(self._routes) >= _CACHE_COUNT:
+            self._routes.clear()
+        self._routes[envelope.cookie, caller] = route
+        return route
 
     def _has_ended(self, cookie: Cookie, service: str) -> bool:
         # An address that we know nothing of, or only older news, is not judged: the
--- a/src/agatethread/entry/_instance.py
+++ b/src/agatethread/entry/_instance.py
@@ -55,6 +55,8 @@
 _LEAVE_NOTICE_S = 1.0
 _STOP_POLL_S = 0.05
 
+#: Looked up once: an enum's attribute costs as much as the rest of the dispatch.
+_CLOSE = Kind.CLOSE
 _FLOW_KINDS = frozenset((Kind.DATA, Kind.KEEPALIVE, Kind.CLOSE))
 _STREAM_REPLIES = frozenset((Kind.PUSH, Kind.KEEPALIVE_ACK, Kind.OPENED, Kind.CLOSED))
 
@@ -265,7 +267,7 @@
         kind = envelope.kind
         if kind in _FLOW_KINDS:
             forwarded = self.forwarder.to_backend(data, envelope, source)
-            if kind == Kind.CLOSE and forwarded:
+            if kind == _CLOSE and forwarded:
                 self._tell_closed(envelope)
             return
         if kind == Kind.REQUEST:
