--- a/src/agatethread/client/_client.py
+++ b/src/agatethread/client/_client.py
@@ -6,6 +6,7 @@
 
 from agatethread.client._stream import Stream
 from agatethread.exceptions import (
+    AgatethreadError,
     DatagramError,
     OperationRefusedError,
     OperationUnknownError,
@@ -26,6 +27,8 @@
 #: Resend interval once an instance has said that it works on the request.
 _ACCEPTED_RESEND_S = 0.5
 _HELLO_TIMEOUT_S = 3.0
+#: Pause before an idempotent request with an unknown outcome is sent anew.
+_UNKNOWN_RETRY_S = 0.05
 _VERDICTS = frozenset((Kind.ANSWER, Kind.REFUSED, Kind.UNKNOWN))
 
 
@@ -190,7 +193,8 @@
         """Have a request run, and return its whole answer.
 
         A request that was refused because the instance that would decide it has
-        changed did not run, and is sent anew at once within the timeout.
+        changed did not run, and is sent anew at once within the timeout; so is an
+        idempotent one whose outcome is unknown.
 
         Parameters
         ----------
@@ -223,6 +227,7 @@
             raise PayloadTooLargeError(f"{len(payload)} bytes")
 
         deadline_s = asyncio.get_running_loop().time() + timeout_s
+        may_have_run = False
         while True:
             token = await self._token(service)
             request = Envelope(
@@ -238,16 +243,16 @@
                 self._tokens[service] = verdict.token
             if verdict.kind == Kind.ANSWER:
                 return verdict.payload
-            if verdict.kind == Kind.UNKNOWN:
+            may_have_run = may_have_run or verdict.kind == Kind.UNKNOWN
+            if may_have_run and not idempotent:
                 raise OperationUnknownError(Reason.Name(verdict.reason))
-            await self._come_back(verdict, deadline_s)
-
-    async def _come_back(self, verdict: Envelope, deadline_s: float) -> None:
-        retry_after_s = verdict.retry_after_ms / 1000
-        again_s = asyncio.get_running_loop().time() + retry_after_s
-        if verdict.reason != Reason.MOVED or again_s >= deadline_s:
-            raise OperationRefusedError(Reason.Name(verdict.reason), retry_after_s)
-        await asyncio.sleep(retry_after_s)
+            pause_s = _pause_s(verdict)
+            if (
+                pause_s is None
+                or asyncio.get_running_loop().time() + pause_s >= deadline_s
+            ):
+                raise _failure(verdict, may_have_run)
+            await asyncio.sleep(pause_s)
 
     async def _run(self, request: Envelope, deadline_s: float) -> Envelope:
         waiting = _Waiting()
@@ -299,6 +304,20 @@
         raise UnavailableError(f"no instance answers for {service}")
 
 
+def _pause_s(verdict: Envelope) -> float | None:
+    """Time until the request is sent anew, or None if the caller must decide."""
+    if verdict.kind == Kind.UNKNOWN:
+        return _UNKNOWN_RETRY_S
+    return verdict.retry_after_ms / 1000 if verdict.reason == Reason.MOVED else None
+
+
+def _failure(verdict: Envelope, may_have_run: bool) -> AgatethreadError:
+    reason = Reason.Name(verdict.reason)
+    if may_have_run:
+        return OperationUnknownError(reason)
+    return OperationRefusedError(reason, verdict.retry_after_ms / 1000)
+
+
 async def connect(addresses: dict[str, str], partner: str = "") -> Client:
     """Make a client with a socket of its own.
 
--- a/src/agatethread/entry/_requests.py
+++ b/src/agatethread/entry/_requests.py
@@ -162,13 +162,14 @@
         return token
 
     def _decider(self, envelope: Envelope, token: Token) -> MemberRef:
-        for ref in (token.owner, token.standby):
-            if self._ports.is_alive(ref):
-                return ref
-        if not envelope.idempotent:
+        if self._ports.is_alive(token.owner):
+            return token.owner
+        # An idempotent operation is soon sent anew under a fresh token, so nobody
+        # needs to find out what its owner did; and were it run here too, the owner,
+        # if it is alive after all, could refuse it falsely.
+        if envelope.idempotent or not self._ports.is_alive(token.standby):
             return NO_MEMBER
-        ranked = self._members.rank(token.service)
-        return ranked[0].ref if ranked else NO_MEMBER
+        return token.standby
 
     def on_relayed_request(self, envelope: Envelope, caller: bytes) -> None:
         """Take a request that another instance sent on.
@@ -184,7 +185,7 @@
 
     def _decide_here(self, envelope: Envelope, token: Token, caller: bytes) -> None:
         me = self._members.me.ref
-        if token.owner == me or envelope.idempotent:
+        if token.owner == me:
             deadline_s = self._deadline_s(envelope)
             self.owner.on_request(envelope, token, caller, deadline_s)
             return
--- a/src/agatethread/operations/_owner.py
+++ b/src/agatethread/operations/_owner.py
@@ -118,13 +118,13 @@
         envelope : Envelope
             The caller's request.
         token : Token
-            Its token; its owner is this run, unless the operation is idempotent.
+            Its token; its owner is this run.
         caller : bytes
             Packed address of the caller.
         deadline_s : float
             Time until the deadline.
         """
-        operation = self._table.find(envelope.operation_id)
+        operation = self._find_copy(envelope.operation_id)
         if operation is not None:
             self._on_copy(operation, caller)
             return
@@ -140,6 +140,9 @@
         self._running.add(operation)
         self._start_task(self._run(operation))
 
+    def _find_copy(self, operation_id: bytes) -> Operation | None:
+        return self._table.find(operation_id)
+
     def _make(
         self, envelope: Envelope, token: Token, caller: bytes, deadline_s: float
     ) -> Operation:
@@ -172,14 +175,15 @@
             verdict = await self._serve(operation)
         except RefusedError as error:
             self._counters["refused_" + Reason.Name(error.reason).lower()] += 1
-            verdict = refused(
-                operation.operation_id,
-                error.reason,
-                error.retry_after_s,
-                self._ports.fresh_token(operation.service),
-            )
+            verdict = self._refusal(operation, error)
         self._finish(operation, verdict)
 
+    def _refusal(self, operation: Operation, error: RefusedError) -> bytes:
+        fresh = self._ports.fresh_token(operation.service)
+        if operation.may_have_run:
+            return unknown(operation.operation_id, error.reason, fresh)
+        return refused(operation.operation_id, error.reason, error.retry_after_s, fresh)
+
     def _finish(self, operation: Operation, verdict: bytes) -> None:
         operation.verdict = verdict
         operation.datagram = b""
@@ -295,13 +299,18 @@
     async def _attempt(self, operation: Operation, endpoint: Endpoint) -> _Outcome:
         operation.endpoint = endpoint
         operation.outcome = asyncio.get_running_loop().create_future()
+        had_run = operation.may_have_run
+        operation.may_have_run = True
         self._dispatch(operation, endpoint)
         self._counters["dispatched"] += 1
         wait_s = operation.deadline_at_s - self._ports.now_s()
         if operation.idempotent:
             wait_s = min(wait_s, max(_LEAST_PATIENCE_S, wait_s / _PATIENCE_FACTOR))
         try:
-            return await asyncio.wait_for(operation.outcome, wait_s)
+            outcome = await asyncio.wait_for(operation.outcome, wait_s)
+            if outcome.end is _End.SHED:
+                operation.may_have_run = had_run
+            return outcome
         except TimeoutError:
             self._cancel_at_backend(operation)
             return _Outcome(_End.TIMED_OUT)
@@ -309,7 +318,7 @@
     def _dispatch(self, operation: Operation, endpoint: Endpoint) -> None:
         label = OperationLabel(
             operation.caller,
-            operation.token.owner if not operation.idempotent else self._ports.me(),
+            operation.token.owner,
             operation.token.standby,
             operation.nonce,
             operation.attempt,
--- a/src/agatethread/operations/_records.py
+++ b/src/agatethread/operations/_records.py
@@ -79,6 +79,8 @@
     outcome: asyncio.Future | None = None
     verdict: bytes | None = None
     cancelled: bool = False
+    #: Whether an attempt was sent that did not come back as shed.
+    may_have_run: bool = False
     waiter: asyncio.Future | None = field(default=None)
 
 
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -55,6 +55,7 @@
         self._streams: dict[int, _Stream] = {}
         self._running: dict[tuple[bytes, int], asyncio.Task] = {}
         self._unreceived: dict[tuple[bytes, int], tuple[bytes, float]] = {}
+        self._seen: set[tuple[bytes, int]] = set()
         self._sequence = 0
         self._draining = False
         self._started_s = time.monotonic()
@@ -229,6 +230,10 @@
 
     def _on_request(self, envelope: Envelope, addr: Address) -> None:
         key = (envelope.operation_id, envelope.attempt)
+        if key in self._seen:
+            self.counts["copies"] += 1
+            return
+        self._seen.add(key)
         over = len(self._running) >= self._settings["slots"]
         if over:
             self.counts["over_slots"] += 1
