--- a/src/agatethread/cli/_calls.py
+++ b/src/agatethread/cli/_calls.py
@@ -31,6 +31,8 @@
 _RETRY_S = 0.1
 _POLL_S = 0.05
 _CALL_TIMEOUT_S = 2.0
+#: Every instance is asked at once, so one that hangs must not hold up the rest.
+_STATUS_TIMEOUT_S = 0.7
 
 _Reply = TypeVar("_Reply")
 
@@ -169,7 +171,7 @@
 
     async def call(channel: grpc.aio.Channel) -> StatusReply:
         return await ControlStub(channel).Status(
-            StatusRequest(), timeout=_CALL_TIMEOUT_S
+            StatusRequest(), timeout=_STATUS_TIMEOUT_S
         )
 
     asked = [_call(target, address, call) for address in target.addresses]
--- a/src/agatethread/entry/_announcements.py
+++ b/src/agatethread/entry/_announcements.py
@@ -25,6 +25,8 @@
 _INSTANCES_IN_ACK = 8
 _GONE_KEPT_S = 600.0
 _LONGEST_LEASE_MS = 600_000
+#: A sweep later than this means that the process did not run in between.
+_LONGEST_GAP_S = 0.8
 
 
 class AnnouncementDesk:
@@ -76,6 +78,7 @@
         self._on_changed = on_changed
         self._on_gone = on_gone
         self._counters = counters
+        self._swept_s = now_s()
         self._held: set[str] = set()
         self._domains: set[str] = set()
         members.subscribe(self._on_member_changed)
@@ -189,6 +192,13 @@
     def sweep(self) -> None:
         """End the leases that ran out, where their failure domain is in sight."""
         now_s = self._now_s()
+        if now_s - self._swept_s > _LONGEST_GAP_S:
+            # This process was stopped for a while: what was sent to it has not been
+            # read yet.
+            self._counters["pauses"] += 1
+            for endpoint in self._endpoints.by_address.values():
+                endpoint.extend_lease(now_s)
+        self._swept_s = now_s
         for endpoint in list(self._endpoints.expired(now_s, self._is_holder)):
             # Silence from a failure domain that is cut off says nothing about its
             # backend servers: they get no new work from here, and no flow is reset.
--- a/src/agatethread/entry/_documents.py
+++ b/src/agatethread/entry/_documents.py
@@ -15,6 +15,9 @@
 from agatethread.wire.control_pb2_grpc import ControlStub
 
 _RECONNECT_S = 0.2
+#: Two streams to different control instances, so that one that hangs delays nothing
+#: (several parents, as in FaReCast, Kim and others, Middleware 2010).
+_PARENT_COUNT = 2
 #: Control sends something at least each second; silence means that it is cut off.
 _SILENCE_S = 3.0
 
@@ -67,7 +70,7 @@
 
 
 class DocumentWatcher(Service):
-    """Keeps a stream open to one control instance and acknowledges what it brings.
+    """Keeps streams open to two control instances and acknowledges what they bring.
 
     Parameters
     ----------
@@ -93,15 +96,29 @@
         self._book = book
         self._on_update = on_update
         self._counters = counters
+        self._in_use: set[str] = set()
+
+    async def on_start(self) -> None:
+        """Open the streams."""
+        for _ in range(_PARENT_COUNT):
+            self.add_future(self._watch())
 
-    @Service.task
     async def _watch(self) -> None:
-        targets = list(self._settings.entry.control)
-        random.shuffle(targets)
-        while targets and not self.should_stop:
-            for target in targets:
+        while not self.should_stop:
+            target = self._pick_target()
+            if target is not None:
+                self._in_use.add(target)
                 await self._watch_one(target)
-                await self.sleep(_RECONNECT_S)
+                self._in_use.discard(target)
+            await self.sleep(_RECONNECT_S)
+
+    def _pick_target(self) -> str | None:
+        free = [
+            target
+            for target in self._settings.entry.control
+            if target not in self._in_use
+        ]
+        return random.choice(free) if free else None
 
     async def _watch_one(self, target: str) -> None:
         try:
@@ -113,15 +130,16 @@
 
     async def _follow(self, stream: grpc.aio.StreamStreamCall) -> None:
         await stream.write(self._request())
+        acknowledged = self._book.index
         while not self.should_stop:
             update = await asyncio.wait_for(stream.read(), _SILENCE_S)
             if not isinstance(update, WatchUpdate):
                 return
-            if update.index == self._book.index and not update.complete:
-                continue
-            if self._book.take(update):
+            if update.index > self._book.index and self._book.take(update):
                 self._counters["control_updates"] += 1
                 self._on_update()
+            if self._book.index != acknowledged:
+                acknowledged = self._book.index
                 await stream.write(self._request())
 
     def _request(self) -> WatchRequest:
--- a/src/agatethread/membership/_prober.py
+++ b/src/agatethread/membership/_prober.py
@@ -16,6 +16,7 @@
 _UPDATES_IN_JOIN = 16
 _INDIRECT_COUNT = 2
 _REJOIN_INTERVAL_S = 0.5
+_LONGEST_GAP_S = 0.8
 
 Send = Callable[[bytes, Peer], None]
 
@@ -215,5 +216,11 @@
             self.add_future(self._await_refutation(member))
 
     async def _await_refutation(self, member: Member) -> None:
-        await asyncio.sleep(self._suspicion_s)
+        # A sleep that took much longer means that this process was stopped and has
+        # not read yet what the member may have answered.
+        while True:
+            started_s = self._timers.now_s()
+            await asyncio.sleep(self._suspicion_s)
+            if self._timers.now_s() - started_s < self._suspicion_s + _LONGEST_GAP_S:
+                break
         self._table.declare_dead(member)
--- a/tests/entry/test_announcements.py
+++ b/tests/entry/test_announcements.py
@@ -28,6 +28,12 @@
             Counters(),
         )
 
+    def pass_time(self, desk, seconds):
+        end_s = self.clock.value_s + seconds
+        while self.clock.value_s < end_s:
+            self.clock.value_s += 0.1
+            desk.sweep()
+
     def announce(self, desk, **fields):
         envelope = Envelope(kind=Kind.ANNOUNCE, announcement=announcement(**fields))
         desk.on_announce(envelope, address(9001))
@@ -46,12 +52,11 @@
         table = fleet_table(5, me=int(third.name.split("-")[1]))
         desk = self.make_desk(table)
         desk.on_relayed(announcement(address=address(9001)))
-        self.clock.value_s += 60
+        self.pass_time(desk, 60)
         table.apply(dead(first))
         desk.sweep()
         self.assertEqual(self.gone, [])
-        self.clock.value_s += 3.1
-        desk.sweep()
+        self.pass_time(desk, 3.1)
         self.assertEqual(len(self.gone), 1)
 
     def test_silence_of_a_cut_domain_ends_nothing(self):
@@ -59,16 +64,24 @@
         table = fleet_table(1)
         desk = self.make_desk(table)
         self.announce(desk, failure_domain="b")
-        self.clock.value_s += 60
-        desk.sweep()
+        self.pass_time(desk, 60)
         self.assertEqual(self.gone, [])
         table.apply(member(2, "b"))
         desk.sweep()
         self.assertEqual(self.gone, [])
-        self.clock.value_s += 3.1
-        desk.sweep()
+        self.pass_time(desk, 3.1)
         self.assertEqual(len(self.gone), 1)
 
+    def test_process_that_was_stopped_ends_nothing(self):
+        """After a pause of the process each backend server gets one more lease."""
+        table = fleet_table(1)
+        desk = self.make_desk(table)
+        self.announce(desk)
+        desk.sweep()
+        self.clock.value_s += 30
+        desk.sweep()
+        self.assertEqual(self.gone, [])
+
 
 class TestTelling(DeskCase):
     def test_change_goes_to_all_and_refresh_to_holders(self):
