--- a/src/agatethread/control/__init__.py
+++ b/src/agatethread/control/__init__.py
@@ -1,8 +1,15 @@
 """Control role: a replicated log of service documents, handed to entry instances."""
 
 from agatethread.control._instance import ControlInstance
-from agatethread.control._raft import RaftNode
+from agatethread.control._raft import PeerCalls, RaftNode, Role
 from agatethread.control._state import DocumentState
 from agatethread.control._storage import LogStorage
 
-__all__ = ["ControlInstance", "DocumentState", "LogStorage", "RaftNode"]
+__all__ = [
+    "ControlInstance",
+    "DocumentState",
+    "LogStorage",
+    "PeerCalls",
+    "RaftNode",
+    "Role",
+]
--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -116,9 +116,9 @@
         self._base_term = recovered.snapshot.last_term
         self._entries = recovered.entries
         self.commit_index = self._base_index
-        # An empty disk may be a lost one that has voted in a term it forgot. It may
-        # vote in a log that has never held anything; otherwise it first needs a
-        # leader's entries.
+        # An empty disk may be a lost one, that forgot its votes and entries. Until a
+        # leader has filled it, it votes only for a log that never held anything, and
+        # such a log needs every member's vote: one that holds entries says no.
         self._may_vote = recovered.hard_state.may_vote
 
     # -- log ----------------------------------------------------------------------
@@ -137,6 +137,16 @@
         start = index - self._base_index - 1
         return self._entries[start : start + _MOST_ENTRIES_IN_APPEND]
 
+    def committed_entries(self) -> list[LogEntry]:
+        """List the committed entries that are not yet in a snapshot.
+
+        Returns
+        -------
+        list of LogEntry
+            In order.
+        """
+        return self._entries[: self.commit_index - self._base_index]
+
     def _append(self, entries: list[LogEntry]) -> None:
         self._storage.append(entries)
         self._entries.extend(entries)
@@ -168,6 +178,10 @@
     def _majority(self) -> int:
         return (len(self._peers) + 1) // 2 + 1
 
+    @property
+    def _votes_needed(self) -> int:
+        return self._majority if self._may_vote else len(self._peers) + 1
+
     def _draw_timeout_s(self) -> float:
         return self._settings.election_timeout_s * self._random.uniform(1.0, 2.0)
 
@@ -213,13 +227,14 @@
             last_term=self._term_at(self.last_index),
             pre_vote=pre_vote,
         )
+        needed = self._votes_needed
         asked = [self._ask_vote(peer, request) for peer in self._peers.values()]
         votes = 1
         for next_vote in asyncio.as_completed(asked):
             votes += await next_vote
-            if votes >= self._majority:
+            if votes >= needed:
                 return True
-        return votes >= self._majority
+        return votes >= needed
 
     async def _ask_vote(self, peer: PeerCalls, request: VoteRequest) -> bool:
         try:
--- a/src/agatethread/control/_storage.py
+++ b/src/agatethread/control/_storage.py
@@ -1,7 +1,7 @@
 """Durable term, vote, log and snapshot of one control instance.
 
-A log record is its length and CRC-32 followed by the entry. Nothing is answered before
-it is synced.
+A log record is a header (length, CRC-32 of the entry, CRC-32 of these two) and the
+entry. Nothing is answered before it is synced.
 """
 
 import errno
@@ -16,8 +16,9 @@
 from agatethread.exceptions import DiskFullError, LogCorruptError
 from agatethread.wire.control_pb2 import ControlState, HardState, LogEntry
 
-_HEADER = struct.Struct("!II")
-_LONGEST_RECORD_BYTES = 16 << 20
+_FIELDS = struct.Struct("!II")
+_CHECKSUM = struct.Struct("!I")
+HEADER_BYTES = _FIELDS.size + _CHECKSUM.size
 _LOG, _SNAPSHOT, _HARD_STATE = "log", "snapshot", "hard_state"
 
 
@@ -31,21 +32,44 @@
 
 
 def _frame(payload: bytes) -> bytes:
-    return _HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+    fields = _FIELDS.pack(len(payload), zlib.crc32(payload))
+    return fields + _CHECKSUM.pack(zlib.crc32(fields)) + payload
+
+
+def _read_header(data: bytes, offset: int) -> tuple[int, int] | None:
+    """Return the length and checksum that a sound header gives."""
+    fields = data[offset : offset + _FIELDS.size]
+    (expected,) = _CHECKSUM.unpack_from(data, offset + _FIELDS.size)
+    return _FIELDS.unpack(fields) if zlib.crc32(fields) == expected else None
 
 
 def _unframe(data: bytes, offset: int) -> bytes | None:
     """Return the record at an offset, or None if it is not whole and sound."""
-    start = offset + _HEADER.size
+    start = offset + HEADER_BYTES
     if start > len(data):
         return None
-    length, checksum = _HEADER.unpack_from(data, offset)
+    header = _read_header(data, offset)
+    if header is None:
+        return None
+    length, checksum = header
     payload = data[start : start + length]
     if len(payload) != length or zlib.crc32(payload) != checksum:
         return None
     return payload
 
 
+def _is_torn(data: bytes, offset: int) -> bool:
+    """Tell whether an unsound record is the last write, cut short."""
+    start = offset + HEADER_BYTES
+    if start > len(data):
+        return True
+    header = _read_header(data, offset)
+    if header is None:
+        # A file may have grown before its contents were written.
+        return not any(data[offset:])
+    return start + header[0] >= len(data)
+
+
 class LogStorage:
     """Files of one control instance under its data folder.
 
@@ -108,27 +132,16 @@
         while offset < len(data):
             payload = _unframe(data, offset)
             if payload is None:
-                self._check_torn(path, data, offset)
+                if not _is_torn(data, offset):
+                    raise LogCorruptError(f"{path}: offset {offset}: wrong checksum")
                 break
             try:
                 entries.append(LogEntry.FromString(payload))
             except DecodeError:
                 raise LogCorruptError(f"{path}: offset {offset}: no entry") from None
-            offset += _HEADER.size + len(payload)
+            offset += HEADER_BYTES + len(payload)
         return entries
 
-    @staticmethod
-    def _check_torn(path: Path, data: bytes, offset: int) -> None:
-        # Only the last write can be torn. A record that claims to end before the end
-        # of the file has others behind it, so it was damaged later.
-        start = offset + _HEADER.size
-        if start > len(data):
-            return
-        length, _ = _HEADER.unpack_from(data, offset)
-        if length <= _LONGEST_RECORD_BYTES and start + length >= len(data):
-            return
-        raise LogCorruptError(f"{path}: offset {offset}: checksum does not match")
-
     def save_hard_state(self, hard_state: HardState) -> None:
         """Write the term and the vote, synced.
 
--- /dev/null
+++ b/tests/control/test_raft.py
@@ -0,0 +1,245 @@
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from agatethread.control import RaftNode, Role
+from agatethread.exceptions import DiskFullError
+from benchmarks.control_world import ControlWorld
+from benchmarks.virtual_time import VirtualLoop
+
+NAMES = st.sampled_from(("control-0", "control-1", "control-2"))
+
+
+class ControlMachine(RuleBasedStateMachine):
+    """A log among faults; the oracle is what operators were told."""
+
+    def __init__(self):
+        super().__init__()
+        self.folder = tempfile.TemporaryDirectory()
+        self.sync = mock.patch("os.fsync")
+        self.sync.start()
+        self.runner = asyncio.Runner(loop_factory=VirtualLoop)
+        self.world = self.runner.run(self._make())
+        self.changes = 0
+        self.lost = False
+
+    async def _make(self):
+        world = ControlWorld(Path(self.folder.name), seed=3)
+        for name in world.names:
+            await world.start(name)
+        await asyncio.sleep(3)
+        return world
+
+    def run(self, work, wait_s=0.0):
+        async def main():
+            result = await work if work is not None else None
+            await asyncio.sleep(wait_s)
+            return result
+
+        return self.runner.run(main())
+
+    @rule(ahead=st.integers(0, 1), wait_s=st.sampled_from((0.0, 0.05, 0.5)))
+    def change(self, ahead, wait_s):
+        """Two operators send changes with equal numbers."""
+        newest = max(
+            [n.documents.documents["tab"].version for n in self.alive_with_tab()] or [0]
+        )
+        self.changes += 1
+
+        async def send():
+            self.world.apply(newest + 1, f"a{self.changes}")
+            self.world.apply(newest + 1 + ahead, f"b{self.changes}")
+
+        self.run(send(), wait_s)
+
+    def alive_with_tab(self):
+        nodes = self.world.nodes.values()
+        return [node for node in nodes if "tab" in node.documents.documents]
+
+    @rule(name=NAMES, disk=st.sampled_from(("kept", "kept", "torn", "lost")))
+    def restart(self, name, disk):
+        """Kill a member and start it again from its disk; one disk is lost at most."""
+        self.run(self.world.kill(name))
+        if disk == "lost" and not self.lost:
+            self.world.lose_disk(name)
+            self.lost = True
+        if disk == "torn" and (Path(self.folder.name) / name / "log").exists():
+            self.world.tear_disk(name)
+        self.run(self.world.start(name))
+
+    @rule(name=NAMES, wait_s=st.sampled_from((0.3, 3.0)))
+    def freeze(self, name, wait_s):
+        self.world.network.frozen.add(name)
+        self.run(None, wait_s)
+
+    @rule()
+    def thaw(self):
+        async def thaw():
+            for name in list(self.world.network.frozen):
+                self.world.network.thaw(name)
+
+        self.run(thaw())
+
+    @rule(pair=st.tuples(NAMES, NAMES))
+    def cut(self, pair):
+        self.world.network.cut.add(frozenset(pair))
+
+    @rule()
+    def heal(self):
+        self.world.network.cut.clear()
+
+    @rule(loss=st.sampled_from((0.0, 0.2)), duplicate=st.sampled_from((0.0, 0.5)))
+    def noise(self, loss, duplicate):
+        self.world.network.loss = loss
+        self.world.network.duplicate = duplicate
+
+    @rule(wait_s=st.sampled_from((0.05, 0.7, 4.0)))
+    def wait(self, wait_s):
+        self.run(None, wait_s)
+
+    @invariant()
+    def promises_hold(self):
+        assert not self.world.violations(), self.world.violations()
+
+    def teardown(self):
+        self.thaw()
+        self.heal()
+        self.noise(0.0, 0.0)
+        self.run(None, 8.0)
+        found = self.world.settled_violations()
+        leaders = [n for n in self.world.nodes.values() if n.role is Role.LEADER]
+        self.run(self.world.close())
+        self.runner.close()
+        self.sync.stop()
+        self.folder.cleanup()
+        assert not found, found
+        assert len(leaders) == 1, "nobody leads after every fault has ended"
+
+
+TestControlMachine = ControlMachine.TestCase
+TestControlMachine.settings = settings(max_examples=50, stateful_step_count=30)
+
+
+class TestRaftNode(unittest.TestCase):
+    def run_world(self, scenario, **fields):
+        async def main():
+            with tempfile.TemporaryDirectory() as folder:
+                world = ControlWorld(Path(folder), seed=1, **fields)
+                for name in world.names:
+                    await world.start(name)
+                await asyncio.sleep(3)
+                try:
+                    return await scenario(world)
+                finally:
+                    await world.close()
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            return runner.run(main())
+
+    @staticmethod
+    def leader(world):
+        return next(n for n in world.nodes.values() if n.role is Role.LEADER)
+
+    def test_isolated_member_does_not_disturb(self):
+        """A member cut off for long returns without raising the term."""
+
+        async def scenario(world):
+            leader = self.leader(world)
+            lonely = next(name for name in world.names if name != leader.name)
+            others = [name for name in world.names if name != lonely]
+            world.network.cut = {frozenset((lonely, name)) for name in others}
+            term = leader.term
+            await asyncio.sleep(900)
+            world.network.cut.clear()
+            await asyncio.sleep(5)
+            self.assertEqual(world.nodes[lonely].term, term)
+            self.assertIs(leader.role, Role.LEADER)
+
+        self.run_world(scenario)
+
+    def test_leader_without_quorum_refuses(self):
+        """A leader that is cut off stops leading, and accepts nothing."""
+
+        async def scenario(world):
+            leader = self.leader(world)
+            world.network.cut = {frozenset((leader.name, name)) for name in world.names}
+            world.apply(1, "x")
+            await asyncio.sleep(5)
+            self.assertIsNot(leader.role, Role.LEADER)
+            new = self.leader(world)
+            self.assertNotEqual(new.name, leader.name)
+
+        self.run_world(scenario)
+
+    def test_full_disk_refuses_and_serves_on(self):
+        """While the leader's disk is full a change is refused and nothing is lost."""
+
+        async def scenario(world):
+            world.apply(1, "before")
+            await asyncio.sleep(1)
+            leader = self.leader(world)
+            full = mock.patch.object(
+                leader._storage, "append", side_effect=DiskFullError("full")
+            )
+            with full, self.assertRaises(DiskFullError):
+                await leader.propose(b"")
+            world.apply(2, "after")
+            await asyncio.sleep(1)
+            self.assertEqual(world.settled_violations(), [])
+            self.assertEqual(leader.documents.documents["tab"].version, 2)
+
+        self.run_world(scenario)
+
+    def test_late_member_catches_up_by_snapshot(self):
+        """A member that missed hundreds of changes ends in the same state."""
+
+        async def scenario(world):
+            await world.kill("control-2")
+            await asyncio.sleep(3)
+            for version in range(1, 200):
+                world.apply(version, f"c{version}")
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(3)
+            await world.start("control-2")
+            await asyncio.sleep(3)
+            self.assertEqual(world.settled_violations(), [])
+            versions = [
+                node.documents.documents["tab"].version for node in world.nodes.values()
+            ]
+            self.assertEqual(versions, [199] * 3)
+
+        with mock.patch("os.fsync"):
+            self.run_world(scenario)
+
+    def test_oracle_sees_votes_from_a_lost_disk(self):
+        """If a lost disk voted as if it were whole, a change could be lost."""
+
+        async def scenario(world):
+            leader = self.leader(world)
+            behind, helper = (n for n in world.names if n != leader.name)
+            await world.kill(behind)
+            world.lose_disk(behind)
+            world.apply(1, "x")
+            await asyncio.sleep(1)
+            await world.kill(helper)
+            world.lose_disk(helper)
+            await world.kill(leader.name)
+            await world.start(behind)
+            await world.start(helper)
+            await asyncio.sleep(5)
+            return [n for n in world.nodes.values() if n.role is Role.LEADER]
+
+        self.assertEqual(self.run_world(scenario), [])
+        weakened = mock.patch.object(RaftNode, "_can_vote_for", lambda *_: True)
+        majority = mock.patch.object(RaftNode, "_allow_vote", lambda *_: None)
+        recovered = mock.patch.object(
+            RaftNode, "_votes_needed", property(lambda node: node._majority)
+        )
+        with weakened, majority, recovered:
+            self.assertTrue(self.run_world(scenario))
--- /dev/null
+++ b/tests/control/test_storage.py
@@ -0,0 +1,97 @@
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from agatethread.control import LogStorage
+from agatethread.control._storage import HEADER_BYTES
+from agatethread.exceptions import DiskFullError, LogCorruptError
+from agatethread.wire.control_pb2 import ControlState, HardState, LogEntry
+
+
+def entries(first, last):
+    return [
+        LogEntry(index=index, term=1, command=b"c" * index)
+        for index in range(first, last + 1)
+    ]
+
+
+class StorageCase(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def open(self):
+        storage = LogStorage(str(self.folder))
+        self.addCleanup(storage.close)
+        return storage, storage.recover()
+
+    def fill(self, count):
+        storage, _ = self.open()
+        storage.append(entries(1, count))
+        storage.close()
+        return self.folder / "log"
+
+
+class TestRecover(StorageCase):
+    def test_everything_synced_comes_back(self):
+        """Hard state, snapshot and the log after it come back."""
+        storage, fresh = self.open()
+        self.assertFalse(fresh.hard_state.may_vote)
+        hard_state = HardState(term=4, voted_for="b", may_vote=True)
+        storage.save_hard_state(hard_state)
+        storage.append(entries(1, 5))
+        storage.save_snapshot(ControlState(last_index=3, last_term=1), entries(4, 5))
+        storage.append(entries(6, 6))
+        storage.truncate(2)
+        _, found = self.open()
+        self.assertEqual(found.hard_state, hard_state)
+        self.assertEqual(found.snapshot.last_index, 3)
+        self.assertEqual(found.entries, entries(4, 5))
+
+    def test_torn_last_record_is_cut_off(self):
+        """Wherever the last write was torn, all before it comes back."""
+        whole = self.fill(5).read_bytes()
+        last = len(whole) - len(entries(5, 5)[0].SerializeToString()) - HEADER_BYTES
+        for size in range(last, len(whole)):
+            (self.folder / "log").write_bytes(whole[:size])
+            _, found = self.open()
+            self.assertEqual(found.entries, entries(1, 4))
+
+    def test_damaged_middle_is_refused(self):
+        """A damaged record with others behind it is an error, not a shorter log."""
+        path = self.fill(5)
+        data = bytearray(path.read_bytes())
+        data[9] ^= 1
+        path.write_bytes(data)
+        with self.assertRaisesRegex(LogCorruptError, "offset 0"):
+            self.open()
+
+    @given(st.integers(0, 10_000), st.integers(1, 255))
+    def test_any_damage_before_the_last_record_is_refused(self, position, change):
+        """A changed byte, also of a length, never shortens the log in silence."""
+        path = self.fill(4)
+        data = bytearray(path.read_bytes())
+        last = len(entries(4, 4)[0].SerializeToString()) + HEADER_BYTES
+        data[position % (len(data) - last)] ^= change
+        path.write_bytes(data)
+        with self.assertRaises(LogCorruptError):
+            self.open()
+        path.unlink()
+
+
+class TestFullDisk(StorageCase):
+    def test_refused_write_leaves_the_log_as_it_was(self):
+        """After a write that failed, what was there stays and can be added to."""
+        storage, _ = self.open()
+        storage.append(entries(1, 2))
+        with mock.patch("os.fsync", side_effect=OSError(28, "No space left")):
+            with self.assertRaises(DiskFullError):
+                storage.append(entries(3, 3))
+        storage.append(entries(3, 4))
+        _, found = self.open()
+        self.assertEqual(found.entries, entries(1, 4))
--- /dev/null
+++ b/tests/entry/test_instance.py
@@ -0,0 +1,240 @@
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from agatethread.entry import EntryInstance
+from agatethread.entry._sockets import drain_into
+from agatethread.observability import Counters
+from agatethread.settings import EntrySettings, Settings, format_address
+from agatethread.wire import (
+    Cookie,
+    Envelope,
+    Kind,
+    Reason,
+    pack_address,
+    seal_cookie,
+    service_hash,
+)
+from tests.fakes import announcement, free_port
+
+CALLER = ("127.0.0.1", 5005)
+BACKEND = ("127.0.0.1", 6006)
+KINDS = st.sampled_from(sorted(Kind.values()))
+FORGED = st.builds(
+    lambda kind, service, flow_id, cookie, label, operation_id, payload: Envelope(
+        kind=kind,
+        service=service,
+        flow_id=flow_id,
+        cookie=cookie,
+        return_label=label,
+        operation_id=operation_id,
+        payload=payload,
+    ).SerializeToString(),
+    KINDS,
+    st.sampled_from(("tab", "receipts", "")),
+    st.integers(0, 2**64 - 1),
+    st.binary(max_size=50),
+    st.binary(max_size=80),
+    st.one_of(st.binary(max_size=90), st.binary(min_size=60, max_size=60)),
+    st.binary(max_size=1_500),
+)
+
+
+class FakeSocket:
+    """Gives out what a test put in."""
+
+    def __init__(self, items):
+        self._items = list(items)
+
+    def recvfrom(self, _):
+        if not self._items:
+            raise BlockingIOError
+        return self._items.pop(0)
+
+
+class InstanceCase(unittest.TestCase):
+    """A real instance that is not started: datagrams go straight to its handlers."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(cls.folder.cleanup)
+        key = Path(cls.folder.name) / "key"
+        key.write_text("ab" * 32)
+        cls.entry = EntrySettings(
+            format_address(("127.0.0.1", free_port())),
+            format_address(("127.0.0.1", free_port())),
+            str(key),
+            warm_up_s=0.0,
+        )
+
+    def setUp(self):
+        self.loop = asyncio.new_event_loop()
+        asyncio.set_event_loop(self.loop)
+        self.addCleanup(self.loop.close)
+        self.counters = Counters()
+        settings = Settings(
+            "e", "a", ("entry",), "127.0.0.1:1", self.entry, plain_text=True
+        )
+        self.instance = EntryInstance(settings, self.counters)
+        self.addCleanup(self.instance._caller_socket.close)
+        self.addCleanup(self.instance._inner_socket.close)
+        self.to_backend, self.to_caller = [], []
+        forwarder = self.instance.forwarder
+        forwarder._send_backend = lambda data, target: self.to_backend.append(
+            (Envelope.FromString(data), target)
+        )
+        forwarder._send_caller = lambda data, target: self.to_caller.append(
+            (Envelope.FromString(data), target)
+        )
+
+    def hear(self, **fields):
+        values = {"address": pack_address(BACKEND)} | fields
+        self.instance.announcements.on_relayed(announcement(**values))
+
+    def data(self, service="tab", flow_id=7, named=None, incarnation=1, kind=Kind.DATA):
+        cookie = Cookie(
+            pack_address(BACKEND), incarnation, service_hash(service), flow_id
+        )
+        envelope = Envelope(
+            kind=kind,
+            service=named or service,
+            flow_id=flow_id,
+            cookie=seal_cookie(self.instance.sealer, cookie),
+        )
+        return envelope.SerializeToString()
+
+    def from_caller(self, *datagrams):
+        handler = self.instance._on_caller_datagram
+        socket = FakeSocket((data, CALLER) for data in datagrams)
+        drain_into(socket, handler, self.counters)()
+
+    def from_inner(self, *datagrams, source=BACKEND):
+        handler = self.instance._on_inner_datagram
+        socket = FakeSocket((data, source) for data in datagrams)
+        drain_into(socket, handler, self.counters)()
+
+
+class TestBadDatagrams(InstanceCase):
+    def state(self):
+        instance = self.instance
+        return (
+            dict(instance.members.members),
+            dict(instance.endpoints.by_address),
+            len(instance.flows),
+            len(instance.requests.owner),
+            len(instance.requests.claims),
+            dict(instance.book.documents),
+        )
+
+    def check_unmoved(self, datagrams):
+        before = self.state()
+        self.from_caller(*datagrams)
+        self.from_inner(*datagrams)
+        self.assertEqual(self.state(), before)
+        self.assertEqual(self.counters["dropped_by_fault"], 0)
+        self.assertEqual(self.to_backend, [])
+
+    def test_random_bytes_change_nothing(self):
+        """Random datagrams are dropped, counted, and change no state."""
+
+        @given(st.lists(st.binary(max_size=2_048), max_size=20))
+        def check(datagrams):
+            self.check_unmoved(datagrams)
+
+        check()
+        self.assertGreater(self.counters["dropped_malformed"], 0)
+        self.assertGreater(self.counters["dropped_no_kind"], 0)
+
+    def test_forged_envelopes_change_nothing(self):
+        """Well-formed datagrams with seals of nobody's change no state."""
+
+        @given(st.lists(FORGED, max_size=10))
+        def check(datagrams):
+            self.check_unmoved(datagrams)
+
+        check()
+        self.assertGreater(self.counters["dropped_forged"], 0)
+
+    def test_oversized_datagrams_change_nothing(self):
+        """A datagram above the limit is dropped and counted, even a sealed one."""
+        good = Envelope.FromString(self.data())
+        good.payload = bytes(1_400)
+        self.check_unmoved([good.SerializeToString()])
+        self.assertEqual(self.counters["dropped_oversized"], 2)
+
+    def test_truncated_datagrams_change_nothing(self):
+        """Every prefix of a good datagram is dropped or refused."""
+        good = self.data()
+        self.check_unmoved([good[:size] for size in range(len(good) - 8)])
+
+    def test_a_fault_of_ours_does_not_end_the_process(self):
+        """An exception in a handler is counted and the next datagram is served."""
+
+        def handler(data, _):
+            raise RuntimeError(data)
+
+        drain_into(
+            FakeSocket([(b"1", CALLER), (b"2", CALLER)]), handler, self.counters
+        )()
+        self.assertEqual(self.counters["dropped_by_fault"], 2)
+
+
+class TestForwarding(InstanceCase):
+    def test_flow_never_heard_of_is_forwarded(self):
+        """A cookie is enough: an instance that knows nothing forwards its flow."""
+        self.from_caller(self.data())
+        (envelope, target), *rest = self.to_backend
+        self.assertEqual((target, rest, envelope.incarnation), (BACKEND, [], 1))
+
+    def test_reply_finds_its_caller_through_any_instance(self):
+        """A label is enough to bring a reply back, but only from its own source."""
+        self.from_caller(self.data())
+        label = self.to_backend[0][0].return_label
+        push = Envelope(kind=Kind.PUSH, flow_id=7, return_label=label)
+        data = push.SerializeToString()
+        self.from_inner(data, source=("127.0.0.1", 6))
+        self.assertEqual(self.to_caller, [])
+        self.from_inner(data)
+        self.assertEqual(self.to_caller[0][1], CALLER)
+
+    def test_packet_of_one_service_never_reaches_another(self):
+        """A datagram that names another service than its cookie is dropped."""
+        self.from_caller(self.data(service="tab", named="receipts"))
+        self.assertEqual(self.to_backend, [])
+        self.assertEqual(self.counters["dropped_wrong_service"], 1)
+
+    def test_reused_address_gets_no_old_packet(self):
+        """Once an address is another service's, its old flows are reset instead."""
+        self.hear()
+        self.from_caller(self.data())
+        self.assertEqual(len(self.to_backend), 1)
+        self.hear(service="receipts", incarnation=2)
+        self.from_caller(self.data())
+        self.assertEqual(len(self.to_backend), 1)
+        self.assertEqual(self.to_caller[0][0].reason, Reason.ENDPOINT_GONE)
+
+    def test_stale_announcement_changes_nothing(self):
+        """An older incarnation's delayed announcement does not take an address back."""
+        self.hear(service="receipts", incarnation=2)
+        self.hear(service="tab", incarnation=1, sequence=99)
+        endpoint = self.instance.endpoints.by_address[pack_address(BACKEND)]
+        self.assertEqual(endpoint.service, "receipts")
+
+    def test_cookie_newer_than_our_news_is_forwarded(self):
+        """A flow of a run that we have not heard of yet is not reset."""
+        self.hear()
+        self.from_caller(self.data(incarnation=2))
+        self.assertEqual(len(self.to_backend), 1)
+
+    def test_flow_id_must_match_its_cookie(self):
+        """A cached route serves only the flow that its cookie names."""
+        self.from_caller(self.data(flow_id=7))
+        other = Envelope.FromString(self.data(flow_id=7))
+        other.flow_id = 8
+        self.from_caller(other.SerializeToString())
+        self.assertEqual(len(self.to_backend), 1)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,15 +1,11 @@
 """Small fakes shared by the tests."""
 
-import asyncio
-import selectors
-from collections.abc import Coroutine
+import socket
 from typing import Any
 
 from agatethread.membership import Member, MemberTable
 from agatethread.wire import Announcement, MemberState, pack_address
 
-NO_LISTENER = lambda *_: None  # noqa: E731
-
 
 class Clock:
     """A clock that a test sets."""
@@ -21,37 +17,6 @@
         return self.value_s
 
 
-class _SkippingSelector(selectors.SelectSelector):
-    """Never waits: the time it was to wait passes at once."""
-
-    def __init__(self):
-        super().__init__()
-        self.skipped_s = 0.0
-
-    def select(self, timeout=None):
-        ready = super().select(0)
-        if not ready and timeout:
-            self.skipped_s += timeout
-        return ready
-
-
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop whose time runs only while nothing is ready."""
-
-    def __init__(self):
-        self._skipping = _SkippingSelector()
-        super().__init__(self._skipping)
-
-    def time(self) -> float:
-        return self._skipping.skipped_s + 1000.0
-
-
-def run_virtual(main: Coroutine[Any, Any, Any]) -> Any:
-    """Run a coroutine in virtual time."""
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(main)
-
-
 def address(number: int) -> bytes:
     """Packed address number N."""
     return pack_address(("127.0.0.1", number))
@@ -89,3 +54,10 @@
         "sequence": 1,
     }
     return Announcement(**(values | fields))
+
+
+def free_port() -> int:
+    """A port that was free a moment ago."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
