--- a/src/agatethread/client/_client.py
+++ b/src/agatethread/client/_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from collections import defaultdict
+from collections.abc import Coroutine
 
 from agatethread.client._stream import Stream
 from agatethread.exceptions import (
@@ -11,9 +12,11 @@
     OperationRefusedError,
     OperationUnknownError,
     PayloadTooLargeError,
+    TransferLimitError,
     UnavailableError,
 )
 from agatethread.settings import parse_address
+from agatethread.transfer import MAX_MESSAGE_BYTES, Assembler, Outbox, split
 from agatethread.wire import (
     MAX_PAYLOAD_BYTES,
     Envelope,
@@ -29,13 +32,17 @@
 _HELLO_TIMEOUT_S = 3.0
 #: Pause before an idempotent request with an unknown outcome is sent anew.
 _UNKNOWN_RETRY_S = 0.05
+_MISSING_POLL_S = 0.05
+#: Memory for answers in fragments.
+_ANSWERS_LIMIT_BYTES = 64 << 20
 _VERDICTS = frozenset((Kind.ANSWER, Kind.REFUSED, Kind.UNKNOWN))
 
 
 class _Waiting:
     """A request in progress."""
 
-    def __init__(self) -> None:
+    def __init__(self, service: str) -> None:
+        self.service = service
         self.verdict = asyncio.get_running_loop().create_future()
         self.accepted = asyncio.Event()
 
@@ -62,6 +69,12 @@
         self._tokens: dict[str, bytes] = {}
         self._welcomes: dict[str, asyncio.Event] = defaultdict(asyncio.Event)
         self._tasks: set[asyncio.Task] = set()
+        self._asking: asyncio.Task | None = None
+        self._outbox = Outbox()
+        loop = asyncio.get_running_loop()
+        self._assembler = Assembler(
+            loop.time, _ANSWERS_LIMIT_BYTES, _ANSWERS_LIMIT_BYTES
+        )
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """Keep the transport.
@@ -134,8 +147,35 @@
             return
         if envelope.kind == Kind.ACCEPTED:
             waiting.accepted.set()
+        elif envelope.kind == Kind.MISSING:
+            self._outbox.resend(envelope.operation_id, envelope.missing)
         elif envelope.kind in _VERDICTS and not waiting.verdict.done():
-            waiting.verdict.set_result(envelope)
+            self._on_verdict(envelope, waiting)
+
+    def _on_verdict(self, envelope: Envelope, waiting: _Waiting) -> None:
+        try:
+            whole = self._assembler.add(envelope.operation_id, b"", envelope)
+        except (DatagramError, TransferLimitError):
+            return
+        if whole is not None:
+            waiting.verdict.set_result(whole)
+
+    async def _ask_for_missing(self) -> None:
+        while True:
+            await asyncio.sleep(_MISSING_POLL_S)
+            for partial, indices in self._assembler.take_quiet():
+                operation_id = partial.first.operation_id
+                waiting = self._requests.get(operation_id)
+                if waiting is None:
+                    self._assembler.drop(operation_id)
+                    continue
+                missing = Envelope(
+                    kind=Kind.MISSING,
+                    service=waiting.service,
+                    operation_id=operation_id,
+                    missing=indices,
+                )
+                self._send(missing)
 
     async def open_stream(
         self, service: str, payload: bytes = b"", timeout_s: float = 10.0
@@ -177,10 +217,11 @@
         await stream.keep_alive()
         self._streams.pop(stream.flow_id, None)
 
-    def _start(self, work) -> None:
+    def _start(self, work: Coroutine) -> asyncio.Task:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def request(
         self,
@@ -219,12 +260,14 @@
         OperationUnknownError
             If nobody knows whether it ran.
         PayloadTooLargeError
-            If it does not fit in a datagram.
+            If it is larger than any message may be.
         UnavailableError
             If no instance could be reached; it was not sent.
         """
-        if len(payload) > MAX_PAYLOAD_BYTES:
-            raise PayloadTooLargeError(f"{len(payload)} bytes")
+        if len(payload) > MAX_MESSAGE_BYTES:
+            raise PayloadTooLargeError(f"{len(payload)} bytes of {MAX_MESSAGE_BYTES}")
+        if self._asking is None:
+            self._asking = self._start(self._ask_for_missing())
 
         deadline_s = asyncio.get_running_loop().time() + timeout_s
         may_have_run = False
@@ -255,7 +298,7 @@
             await asyncio.sleep(pause_s)
 
     async def _run(self, request: Envelope, deadline_s: float) -> Envelope:
-        waiting = _Waiting()
+        waiting = _Waiting(request.service)
         self._requests[request.operation_id] = waiting
         try:
             return await self._resend_until_verdict(request, waiting, deadline_s)
@@ -264,14 +307,17 @@
             raise
         finally:
             del self._requests[request.operation_id]
+            self._outbox.done(request.operation_id)
 
     async def _resend_until_verdict(
         self, request: Envelope, waiting: _Waiting, deadline_s: float
     ) -> Envelope:
         loop = asyncio.get_running_loop()
+        is_first = True
         while (remaining_s := deadline_s - loop.time()) > 0:
             request.deadline_ms = max(1, round(remaining_s * 1000))
-            self._send(request)
+            self._send_request(request, is_first)
+            is_first = False
             accepted = waiting.accepted.is_set()
             interval_s = _ACCEPTED_RESEND_S if accepted else _RESEND_S
             wait_s = min(interval_s, remaining_s)
@@ -281,6 +327,20 @@
         self._tokens.pop(request.service, None)
         return Envelope(kind=Kind.UNKNOWN, reason=Reason.DEADLINE)
 
+    def _send_request(self, request: Envelope, is_first: bool) -> None:
+        target = self._addresses[request.service]
+        if is_first:
+            self._outbox.start(
+                request.operation_id,
+                split(request),
+                lambda data: self._transport.sendto(data, target),
+            )
+        elif len(request.payload) > MAX_PAYLOAD_BYTES:
+            # Enough for an instance to say what it has, or what it lacks.
+            self._outbox.resend(request.operation_id, [0])
+        else:
+            self._send(request)
+
     def _cancel(self, request: Envelope) -> None:
         cancel = Envelope(
             kind=Kind.CANCEL,
--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -561,5 +561,6 @@
 
     async def on_stop(self) -> None:
         """Close the disk's files."""
+        self._become_follower("")
         self._fail_waiting()
         self._storage.close()
--- a/src/agatethread/entry/_instance.py
+++ b/src/agatethread/entry/_instance.py
@@ -26,7 +26,9 @@
 from agatethread.routing import Endpoint, EndpointTable, FlowTable
 from agatethread.settings import Settings, parse_address
 from agatethread.timing import TimerService
+from agatethread.transfer import Outbox, split_datagram
 from agatethread.wire import (
+    MAX_DATAGRAM_BYTES,
     NO_MEMBER,
     PEER_PREFIX,
     Envelope,
@@ -104,6 +106,7 @@
         self.book = DocumentBook()
         self._dispatched: set[str] = set()
         self._stopping = False
+        self._outbox = Outbox()
         self._greeted: set[MemberRef] = set()
 
     def _build_desks(self, entry) -> None:
@@ -239,7 +242,13 @@
         self._send_to_inner(data, unpack_address(address))
 
     def _send_caller(self, address: bytes, data: bytes) -> None:
-        self._send_to_caller(data, unpack_address(address))
+        target = unpack_address(address)
+        if len(data) <= MAX_DATAGRAM_BYTES:
+            self._send_to_caller(data, target)
+            return
+        self._outbox.send_paced(
+            split_datagram(data), lambda part: self._send_to_caller(part, target)
+        )
 
     def fresh_token(self, service: str) -> bytes:
         """Seal a token that names the service's present dispatcher and standby.
@@ -279,6 +288,9 @@
         if kind == Kind.CANCEL:
             self.requests.on_cancel(envelope)
             return
+        if kind == Kind.MISSING:
+            self.requests.on_missing(envelope)
+            return
         if kind == Kind.HELLO:
             self._on_hello(envelope, source)
             return
@@ -304,6 +316,9 @@
                 return
             self._on_stream_shed(envelope, source)
             return
+        if kind == Kind.MISSING:
+            self.requests.on_backend_missing(data, envelope)
+            return
         if kind == Kind.ANNOUNCE:
             self.announcements.on_announce(envelope, pack_address(source))
             return
@@ -338,6 +353,10 @@
             self.requests.on_relayed_request(envelope, relay.caller)
         elif envelope.kind == Kind.CANCEL:
             self.requests.on_relayed_cancel(envelope)
+        elif envelope.kind == Kind.MISSING and envelope.return_label:
+            self.requests.on_backend_missing(relay.datagram, envelope)
+        elif envelope.kind == Kind.MISSING:
+            self.requests.on_missing(envelope)
         elif envelope.kind in (Kind.ANSWER, Kind.SHED):
             if not self.requests.on_relayed_reply(envelope, relay.caller):
                 self._on_stream_shed(envelope, unpack_address(relay.caller))
--- a/src/agatethread/entry/_requests.py
+++ b/src/agatethread/entry/_requests.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from agatethread.entry._documents import DocumentBook
-from agatethread.exceptions import DatagramError
+from agatethread.exceptions import DatagramError, TransferLimitError
 from agatethread.membership import MemberTable
 from agatethread.observability import Counters
 from agatethread.operations import (
@@ -15,6 +15,7 @@
 )
 from agatethread.routing import EndpointTable
 from agatethread.settings import EntrySettings
+from agatethread.transfer import Assembler
 from agatethread.wire import (
     NO_MEMBER,
     Envelope,
@@ -94,6 +95,11 @@
             entry.operation_limit_count,
             entry.retention_s,
             entry.claim_timeout_s,
+            entry.transfer_limit_bytes,
+        )
+        caller_limit_bytes = entry.transfer_limit_bytes * entry.caller_transfer_ratio
+        self._assembler = Assembler(
+            ports.now_s, entry.transfer_limit_bytes, int(caller_limit_bytes)
         )
 
     @property
@@ -186,14 +192,79 @@
     def _decide_here(self, envelope: Envelope, token: Token, caller: bytes) -> None:
         me = self._members.me.ref
         if token.owner == me:
-            deadline_s = self._deadline_s(envelope)
-            self.owner.on_request(envelope, token, caller, deadline_s)
+            self._own(envelope, token, caller)
             return
         if token.standby == me:
             self.claims.on_copy(envelope, token, caller)
             return
         self._counters["dropped_not_mine"] += 1
 
+    def _own(self, envelope: Envelope, token: Token, caller: bytes) -> None:
+        deadline_s = self._deadline_s(envelope)
+        if self.owner.knows(envelope.operation_id):
+            self.owner.on_request(envelope, token, caller, deadline_s)
+            return
+        try:
+            whole = self._assembler.add(envelope.operation_id, caller, envelope)
+        except TransferLimitError:
+            self._counters["transfer_refused"] += 1
+            envelope.payload = b""
+            envelope.ClearField("fragment_count")
+            self.owner.refuse(envelope, token, caller, Reason.TOO_LARGE)
+            return
+        if whole is not None:
+            self.owner.on_request(whole, token, caller, deadline_s)
+
+    def on_missing(self, envelope: Envelope) -> None:
+        """Take a caller's request for fragments of its answer.
+
+        Parameters
+        ----------
+        envelope : Envelope
+            Names the operation and the fragments.
+        """
+        token = self._token_of(envelope)
+        if token.owner == self._members.me.ref:
+            self.owner.resend_verdict(envelope.operation_id, envelope.missing)
+            return
+        relay = Relay(datagram=envelope.SerializeToString())
+        self._ports.send_peer(token.owner.address, Peer(relay=relay))
+
+    def on_backend_missing(self, data: bytes, envelope: Envelope) -> None:
+        """Take a backend server's request for fragments of a request.
+
+        Parameters
+        ----------
+        data : bytes
+            The datagram.
+        envelope : Envelope
+            The datagram, decoded.
+        """
+        label = parse_label(self._sealer, envelope.return_label)
+        if not isinstance(label, OperationLabel):
+            raise DatagramError("wrong label")
+        if label.owner == self._members.me.ref:
+            self.owner.resend_request(
+                envelope.operation_id, label.attempt, envelope.missing
+            )
+            return
+        self._relay_reply(label.owner, data, b"")
+
+    def _ask_for_missing(self) -> None:
+        for partial, indices in self._assembler.take_quiet():
+            first = partial.first
+            request = Envelope(
+                kind=Kind.MISSING,
+                service=first.service,
+                operation_id=first.operation_id,
+                attempt=first.attempt,
+                missing=indices,
+            ).SerializeToString()
+            if first.kind == Kind.REQUEST:
+                self._ports.send_caller(partial.source, request)
+            else:
+                self._ports.send_backend(partial.source, request)
+
     def _deadline_s(self, envelope: Envelope) -> float:
         document = self._book.documents.get(envelope.service)
         limit_ms = document.deadline_limit_ms if document else _DEFAULT_LIMIT_MS
@@ -294,6 +365,10 @@
         if operation_id_parts(operation_id)[1] != label.nonce:
             self._counters["reply_crossed"] += 1
             return
+        key = (operation_id, label.attempt)
+        envelope = self._assembler.add(key, source, envelope)
+        if envelope is None:
+            return
         if label.owner == self._members.me.ref:
             self.owner.on_reply(operation_id, label, envelope)
         else:
@@ -327,5 +402,6 @@
         """Do what is due: give out slots, decide for dead owners, expire records."""
         for queue in self._queues.values():
             queue.pump()
+        self._ask_for_missing()
         self.claims.sweep()
         self.owner.expire()
--- a/src/agatethread/exceptions.py
+++ b/src/agatethread/exceptions.py
@@ -15,6 +15,7 @@
     "PayloadTooLargeError",
     "SealError",
     "SettingsError",
+    "TransferLimitError",
     "UnavailableError",
     "VersionConflictError",
 ]
@@ -36,6 +37,10 @@
     """A payload does not fit in one datagram."""
 
 
+class TransferLimitError(AgatethreadError):
+    """A message in fragments needs more memory than is left for it."""
+
+
 class FieldError(AgatethreadError):
     """A field of a settings file or document has a wrong value.
 
--- a/src/agatethread/operations/_owner.py
+++ b/src/agatethread/operations/_owner.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import enum
-from collections.abc import Callable, Coroutine
+from collections import deque
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,7 +18,9 @@
     unknown,
 )
 from agatethread.routing import Endpoint
+from agatethread.transfer import Outbox, split, split_datagram
 from agatethread.wire import (
+    MAX_DATAGRAM_BYTES,
     NO_MEMBER,
     Claim,
     ClaimReply,
@@ -35,9 +38,12 @@
 
 _MOVED_RETRY_S = 0.001
 _CLAIM_RESEND_S = 0.05
+_TOO_LARGE_RETRY_S = 1.0
 #: An idempotent attempt that takes this many usual service times is tried elsewhere.
 _PATIENCE_FACTOR = 8
 _LEAST_PATIENCE_S = 0.5
+#: How long a verdict of several datagrams is kept for copies.
+_LARGE_KEPT_S = 10.0
 
 log = make_logger("operations")
 
@@ -73,8 +79,8 @@
         Runs a coroutine as a task of the instance.
     counters : Counters
         Counts verdicts.
-    limit_count, retention_s, claim_timeout_s
-        As in the settings.
+    limit_count, retention_s, claim_timeout_s, large_limit_bytes
+        As in the settings; the last bounds the large verdicts kept for copies.
     """
 
     def __init__(
@@ -88,6 +94,7 @@
         limit_count: int,
         retention_s: float,
         claim_timeout_s: float,
+        large_limit_bytes: int,
     ):
         self._ports = ports
         self._sealer = sealer
@@ -99,6 +106,10 @@
         self._table: RetainedTable[Operation] = RetainedTable(limit_count, retention_s)
         self._claims: dict[tuple[bytes, int], asyncio.Future[bool]] = {}
         self._running: set[Operation] = set()
+        self._outbox = Outbox()
+        self._large: deque[tuple[float, Operation]] = deque()
+        self._large_bytes = 0
+        self._large_limit_bytes = large_limit_bytes
 
     def __len__(self) -> int:
         return len(self._table)
@@ -129,10 +140,7 @@
             self._on_copy(operation, caller)
             return
         if self._table.is_full:
-            self._counters["operation_table_full"] += 1
-            fresh = self._ports.fresh_token(envelope.service)
-            verdict = unknown(envelope.operation_id, Reason.TABLE_FULL, fresh)
-            self._ports.send_caller(caller, verdict)
+            self._say_full(envelope, caller)
             return
 
         operation = self._make(envelope, token, caller, deadline_s)
@@ -140,6 +148,53 @@
         self._running.add(operation)
         self._start_task(self._run(operation))
 
+    def _say_full(self, envelope: Envelope, caller: bytes) -> None:
+        # A refusal has to be remembered to stay true; without room for that the
+        # outcome is not known.
+        self._counters["operation_table_full"] += 1
+        fresh = self._ports.fresh_token(envelope.service)
+        verdict = unknown(envelope.operation_id, Reason.TABLE_FULL, fresh)
+        self._ports.send_caller(caller, verdict)
+
+    def knows(self, operation_id: bytes) -> bool:
+        """Tell whether an operation was taken before.
+
+        Parameters
+        ----------
+        operation_id : bytes
+            The operation.
+
+        Returns
+        -------
+        bool
+            Whether there is a record of it.
+        """
+        return self._table.find(operation_id) is not None
+
+    def refuse(
+        self, envelope: Envelope, token: Token, caller: bytes, reason: int
+    ) -> None:
+        """Refuse an operation without trying, and remember that.
+
+        Parameters
+        ----------
+        envelope : Envelope
+            The caller's request.
+        token : Token
+            Its token; its owner is this run.
+        caller : bytes
+            Packed address of the caller.
+        reason : int
+            A `Reason`.
+        """
+        if self._table.is_full:
+            self._say_full(envelope, caller)
+            return
+        operation = self._make(envelope, token, caller, 0.0)
+        self._table.add(operation.operation_id, operation)
+        refusal = RefusedError(reason, _TOO_LARGE_RETRY_S)
+        self._finish(operation, self._refusal(operation, refusal))
+
     def _find_copy(self, operation_id: bytes) -> Operation | None:
         return self._table.find(operation_id)
 
@@ -151,7 +206,7 @@
             service=envelope.service,
             partner=envelope.partner,
             caller=caller,
-            datagram=envelope.SerializeToString(),
+            datagrams=split(envelope),
             idempotent=envelope.idempotent,
             deadline_at_s=self._ports.now_s() + deadline_s,
             token=token,
@@ -186,15 +241,78 @@
 
     def _finish(self, operation: Operation, verdict: bytes) -> None:
         operation.verdict = verdict
-        operation.datagram = b""
+        operation.datagrams = []
         operation.endpoint = None
         self._running.discard(operation)
         self._table.finish(operation.operation_id, self._ports.now_s())
         self._ports.send_caller(operation.caller, verdict)
+        self._keep_large(operation)
         if not operation.idempotent and operation.token.standby != NO_MEMBER:
-            note = VerdictNote(operation_id=operation.operation_id, datagram=verdict)
-            standby = operation.token.standby.address
-            self._ports.send_peer(standby, Peer(verdict_note=note))
+            self._note_verdict(operation)
+
+    def _note_verdict(self, operation: Operation) -> None:
+        verdict = operation.verdict
+        if len(verdict) > MAX_DATAGRAM_BYTES:
+            # The standby keeps no large answers; a copy that comes after the owner's
+            # death is told that the outcome is not known.
+            fresh = self._ports.fresh_token(operation.service)
+            verdict = unknown(operation.operation_id, Reason.HOME_LOST, fresh)
+        note = VerdictNote(operation_id=operation.operation_id, datagram=verdict)
+        standby = operation.token.standby.address
+        self._ports.send_peer(standby, Peer(verdict_note=note))
+
+    def _keep_large(self, operation: Operation) -> None:
+        size_bytes = len(operation.verdict)
+        if size_bytes <= MAX_DATAGRAM_BYTES:
+            return
+        self._large.append((self._ports.now_s(), operation))
+        self._large_bytes += size_bytes
+        self._drop_large()
+
+    def _drop_large(self) -> None:
+        oldest_s = self._ports.now_s() - _LARGE_KEPT_S
+        while self._large:
+            kept_s, operation = self._large[0]
+            if kept_s > oldest_s and self._large_bytes <= self._large_limit_bytes:
+                return
+            self._large.popleft()
+            self._large_bytes -= len(operation.verdict)
+            fresh = self._ports.fresh_token(operation.service)
+            operation.verdict = unknown(operation.operation_id, Reason.TOO_LARGE, fresh)
+
+    def resend_verdict(self, operation_id: bytes, indices: Iterable[int]) -> None:
+        """Send fragments of a large verdict again.
+
+        Parameters
+        ----------
+        operation_id : bytes
+            The operation.
+        indices : iterable of int
+            Which ones.
+        """
+        operation = self._table.find(operation_id)
+        if operation is None or operation.verdict is None:
+            return
+        datagrams = split_datagram(operation.verdict)
+        wanted = [datagrams[index] for index in indices if index < len(datagrams)]
+        for datagram in wanted:
+            self._ports.send_caller(operation.caller, datagram)
+
+    def resend_request(
+        self, operation_id: bytes, attempt: int, indices: Iterable[int]
+    ) -> None:
+        """Send fragments of a large request to its backend server again.
+
+        Parameters
+        ----------
+        operation_id : bytes
+            The operation.
+        attempt : int
+            Of which attempt.
+        indices : iterable of int
+            Which ones.
+        """
+        self._outbox.resend((operation_id, attempt), indices)
 
     async def _serve(self, operation: Operation) -> bytes:
         if not self._is_dispatcher(operation.service):
@@ -232,6 +350,7 @@
                 service_time_s = self._ports.now_s() - started_s
             return outcome
         finally:
+            self._outbox.done((operation.operation_id, operation.attempt))
             queue.release(endpoint, service_time_s)
 
     def _check_startable(self, operation: Operation) -> None:
@@ -332,7 +451,11 @@
             attempt=operation.attempt,
             deadline_ms=max(1, round(remaining_s * 1000)),
         ).SerializeToString()
-        self._ports.send_backend(endpoint.address, operation.datagram + suffix)
+        self._outbox.start(
+            (operation.operation_id, operation.attempt),
+            [datagram + suffix for datagram in operation.datagrams],
+            lambda data: self._ports.send_backend(endpoint.address, data),
+        )
 
     def _cancel_at_backend(self, operation: Operation) -> None:
         endpoint = operation.endpoint
@@ -448,4 +571,5 @@
 
     def expire(self) -> None:
         """Drop verdicts whose retention is over."""
+        self._drop_large()
         self._table.expire(self._ports.now_s())
--- a/src/agatethread/operations/_records.py
+++ b/src/agatethread/operations/_records.py
@@ -69,7 +69,7 @@
     service: str
     partner: str
     caller: bytes
-    datagram: bytes
+    datagrams: list[bytes]
     idempotent: bool
     deadline_at_s: float
     token: Token
--- a/src/agatethread/routing/_choice.py
+++ b/src/agatethread/routing/_choice.py
@@ -8,7 +8,7 @@
 def _ramp(endpoint: Endpoint, now_s: float, ramp_s: float) -> float:
     if ramp_s <= 0:
         return 1.0
-    grown = (now_s - endpoint.first_seen_s) / ramp_s
+    grown = (now_s - endpoint.ramp_from_s) / ramp_s
     if grown >= 1.0:
         return 1.0
     return max(_LEAST_RAMP, grown)
--- a/src/agatethread/routing/_endpoints.py
+++ b/src/agatethread/routing/_endpoints.py
@@ -1,6 +1,7 @@
 """Backend servers that announced themselves, by address, with what we count of each."""
 
 import enum
+import math
 from collections.abc import Callable, Iterator
 
 from agatethread.wire import Announcement
@@ -9,6 +10,8 @@
 _LONGEST_PENALTY_S = 5.0
 #: How long counts inherited from an earlier dispatcher are believed.
 _INHERITED_LIFETIME_S = 30.0
+#: A service whose first backend server is older than this has started.
+_ESTABLISHED_S = 10.0
 
 
 class Heard(enum.Enum):
@@ -39,8 +42,8 @@
         "connection_limit",
         "drained",
         "failures",
-        "first_seen_s",
         "gone",
+        "heard_first_s",
         "in_flight",
         "incarnation",
         "inherited_in_flight",
@@ -49,6 +52,7 @@
         "last_used_s",
         "lease_until_s",
         "penalty_until_s",
+        "ramp_from_s",
         "service",
         "slots",
         "streams",
@@ -60,7 +64,8 @@
         self._read(announcement)
         self.service = announcement.service
         self.incarnation = announcement.incarnation
-        self.first_seen_s = now_s
+        self.heard_first_s = now_s
+        self.ramp_from_s = now_s
         self.lease_until_s = now_s + announcement.lease_ms / 1000
         self.gone = False
         self.drained = False
@@ -219,10 +224,19 @@
             self._drop(known)
         endpoint = Endpoint(address, announcement, now_s)
         endpoint.gone = announcement.leaving
+        if not self._is_established(endpoint.service, now_s):
+            endpoint.ramp_from_s = -math.inf
         self.by_address[address] = endpoint
         self._by_service.setdefault(endpoint.service, {})[address] = endpoint
         return Heard.CHANGED, known
 
+    def _is_established(self, service: str, now_s: float) -> bool:
+        # Where all are new none is spared; a ramp is against those that serve already.
+        return any(
+            not other.gone and now_s - other.heard_first_s > _ESTABLISHED_S
+            for other in self._by_service.get(service, {}).values()
+        )
+
     def _hear_again(
         self, known: Endpoint, announcement: Announcement, now_s: float
     ) -> Heard:
--- a/src/agatethread/settings/_model.py
+++ b/src/agatethread/settings/_model.py
@@ -65,6 +65,10 @@
     flow_limit_count: int = _bounded(500_000, 1, 10_000_000)
     #: Time a claim may take before the operation is refused.
     claim_timeout_s: float = _bounded(0.4, 0.01, 10.0)
+    #: Memory for requests and answers that arrive in fragments.
+    transfer_limit_bytes: int = _bounded(64 << 20, 1 << 20, 1 << 34)
+    #: Share of it that one caller may hold.
+    caller_transfer_ratio: float = _bounded(0.25, 0.01, 1.0)
     #: Longest time a stopping instance waits for its operations.
     stop_limit_s: float = _bounded(30.0, 0.0, 3600.0)
 
--- /dev/null
+++ b/src/agatethread/transfer/__init__.py
@@ -0,0 +1,20 @@
+"""Messages too large for one datagram: split, put together whole, or not at all."""
+
+from agatethread.transfer._assembler import Assembler, Partial
+from agatethread.transfer._outbox import Outbox
+from agatethread.transfer._splitting import (
+    FRAGMENT_BYTES,
+    MAX_MESSAGE_BYTES,
+    split,
+    split_datagram,
+)
+
+__all__ = [
+    "FRAGMENT_BYTES",
+    "MAX_MESSAGE_BYTES",
+    "Assembler",
+    "Outbox",
+    "Partial",
+    "split",
+    "split_datagram",
+]
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -15,7 +15,8 @@
 from typing import Any
 
 from agatethread.settings import parse_address
-from agatethread.wire import Announcement, Envelope, Kind, sign
+from agatethread.transfer import Assembler, Outbox, split
+from agatethread.wire import Announcement, Envelope, Kind, pack_address, sign
 from standins.commands import serve_commands
 
 Address = tuple[str, int]
@@ -54,7 +55,9 @@
         self._instances = [parse_address(text) for text in settings["instances"]]
         self._streams: dict[int, _Stream] = {}
         self._running: dict[tuple[bytes, int], asyncio.Task] = {}
-        self._unreceived: dict[tuple[bytes, int], tuple[bytes, float]] = {}
+        self._unreceived: dict[tuple[bytes, int], tuple[list[bytes], float]] = {}
+        self._outbox = Outbox()
+        self._assembler = Assembler(time.monotonic, 256 << 20, 256 << 20)
         self._seen: set[tuple[bytes, int]] = set()
         self._sequence = 0
         self._draining = False
@@ -114,6 +117,9 @@
         """Serve one datagram."""
         envelope = Envelope.FromString(data)
         kind = envelope.kind
+        if kind == Kind.MISSING:
+            self._on_missing(envelope, addr)
+            return
         if kind == Kind.RECEIVED:
             self._unreceived.pop((envelope.operation_id, envelope.attempt), None)
             return
@@ -139,7 +145,9 @@
             self.counts["unknown_flow"] += 1
             self._reply(envelope, addr, Kind.CLOSED)
 
-    def _reply(self, envelope: Envelope, addr: Address, kind: int, **fields) -> bytes:
+    def _reply(
+        self, envelope: Envelope, addr: Address, kind: int, **fields
+    ) -> list[bytes]:
         reply = Envelope(
             kind=kind,
             service=envelope.service,
@@ -150,9 +158,11 @@
             cookie=envelope.cookie,
             **fields,
         )
-        data = reply.SerializeToString()
-        self._transport.sendto(data, addr)
-        return data
+        datagrams = split(reply)
+        self._outbox.send_paced(
+            datagrams, lambda data: self._transport.sendto(data, addr)
+        )
+        return datagrams
 
     def _on_open(self, envelope: Envelope, addr: Address) -> None:
         if envelope.flow_id not in self._streams:
@@ -212,7 +222,29 @@
             if until_s < now_s:
                 del self._unreceived[key]
                 continue
-            self._transport.sendto(answer, self._random.choice(self._instances))
+            self._transport.sendto(answer[0], self._random.choice(self._instances))
+
+    def _on_missing(self, envelope: Envelope, addr: Address) -> None:
+        answer, _ = self._unreceived.get(
+            (envelope.operation_id, envelope.attempt), ([], 0.0)
+        )
+        wanted = [answer[index] for index in envelope.missing if index < len(answer)]
+        self._outbox.send_paced(wanted, lambda data: self._transport.sendto(data, addr))
+
+    async def ask_for_missing_forever(self) -> None:
+        """Ask for fragments of requests that did not arrive."""
+        while True:
+            await asyncio.sleep(0.05)
+            for partial, indices in self._assembler.take_quiet():
+                missing = Envelope(
+                    kind=Kind.MISSING,
+                    service=partial.first.service,
+                    operation_id=partial.first.operation_id,
+                    return_label=partial.first.return_label,
+                    missing=indices,
+                )
+                target = self._random.choice(self._instances)
+                self._transport.sendto(missing.SerializeToString(), target)
 
     def _push(self, flow_id: int, stream: _Stream, sequence: int) -> None:
         push = Envelope(
@@ -233,6 +265,10 @@
         if key in self._seen:
             self.counts["copies"] += 1
             return
+        whole = self._assembler.add(key, pack_address(addr), envelope)
+        if whole is None:
+            return
+        envelope = whole
         self._seen.add(key)
         over = len(self._running) >= self._settings["slots"]
         if over:
@@ -248,7 +284,7 @@
     async def _work(
         self, envelope: Envelope, addr: Address, key: tuple[bytes, int]
     ) -> None:
-        self.runs[envelope.payload.decode()] += 1
+        self.runs[envelope.payload.partition(b"\0")[0].decode()] += 1
         self.counts["requests_run"] += 1
         mean_s = self._settings["service_time_ms"] / 1000
         cold_s = self._settings["cold_start_s"]
@@ -332,6 +368,7 @@
             server.announce_forever(),
             server.push_forever(),
             server.resend_forever(),
+            server.ask_for_missing_forever(),
         )
     ]
     await stopped.wait()
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import os
 import signal
 import time
 from collections import Counter
@@ -118,11 +119,15 @@
         sort = "i" if idempotent else "n"
         label = f"{sort}-{self._settings['name']}-{service}-{number}"
         timeout_s = self._settings["timeout_s"]
+        padding_bytes = self._settings["services"][service].get("upload_bytes", 0)
+        payload = label.encode()
+        if padding_bytes:
+            payload += b"\0" + os.urandom(padding_bytes)
         started_s = time.monotonic()
         self.counts["requests_sent"] += 1
         try:
             answer = await client.request(
-                service, label.encode(), idempotent=idempotent, timeout_s=timeout_s
+                service, payload, idempotent=idempotent, timeout_s=timeout_s
             )
         except OperationRefusedError as error:
             self.counts["requests_refused"] += 1
@@ -134,7 +139,7 @@
             self._unknown.append(label)
         else:
             self.counts["requests_answered"] += 1
-            if answer != b"done:" + label.encode():
+            if answer != b"done:" + payload:
                 self.counts["answers_wrong"] += 1
             self._answered.append(label)
             self._latency_us.record_value(int((time.monotonic() - started_s) * 1e6))
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -234,6 +234,7 @@
                 "streams": layout.stream_count,
                 "requests_per_s": layout.requests_per_s,
                 "idempotent_share": layout.idempotent_share,
+                "upload_bytes": layout.upload_bytes,
             }
             for name, layout in self.layout.services.items()
         }
--- a/standins/layouts.py
+++ b/standins/layouts.py
@@ -21,6 +21,10 @@
         Requests that the callers send.
     idempotent_share : float
         Share of them that may run twice.
+    slots, connection_limit : int
+        Of each backend server.
+    upload_bytes : int
+        Added to each request, and so to its answer.
     """
 
     endpoint_count: int
@@ -31,6 +35,7 @@
     idempotent_share: float
     slots: int = 2
     connection_limit: int = 2_000
+    upload_bytes: int = 0
 
 
 @dataclass(frozen=True)
@@ -65,7 +70,7 @@
     caller_delay_ms=3.0,
     services={
         "tab": ServiceLayout(7, 0, 20, 350, 150, 0.3),
-        "receipts": ServiceLayout(3, 5, 40, 30, 30, 1.0),
+        "receipts": ServiceLayout(3, 5, 40, 30, 30, 1.0, upload_bytes=20_000),
     },
 )
 SERRA_GAUCHA = Layout(
@@ -76,7 +81,7 @@
     caller_delay_ms=3.0,
     services={
         "claims": ServiceLayout(7, 0, 20, 350, 150, 0.3),
-        "evidence": ServiceLayout(4, 5, 40, 40, 40, 1.0),
+        "evidence": ServiceLayout(4, 5, 40, 40, 40, 1.0, upload_bytes=20_000),
     },
 )
 LAYOUTS = {"faellesfane": FAELLESFANE, "serra-gaucha": SERRA_GAUCHA}
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -16,7 +16,7 @@
     caller_delay_ms=1.0,
     services={
         "tab": ServiceLayout(4, 0, 15, 60, 60, 0.25),
-        "receipts": ServiceLayout(2, 5, 20, 6, 10, 1.0),
+        "receipts": ServiceLayout(2, 5, 20, 6, 10, 1.0, upload_bytes=30_000),
     },
 )
 
@@ -106,6 +106,23 @@
         self.finish(broken=open_count)
 
 
+class TestLargeMessages(FleetCase):
+    def test_large_messages_come_whole_through_loss(self):
+        """Uploads and answers of 30 KB come whole though packets are lost."""
+        self.fleet.command("fabric", loss=0.03, duplicate=0.03)
+        self.fleet.command("link", loss=0.005)
+        time.sleep(6)
+        self.fleet.command("fabric", loss=0.0, duplicate=0.0)
+        self.fleet.command("link", loss=0.0)
+        time.sleep(2)
+        seen = self.finish()
+        self.assertEqual(seen["answers_wrong"], 0)
+        ran = Counter()
+        for name in self.fleet.names("backend"):
+            ran[name.split("-")[0]] += len(self.fleet.result(name)["runs"])
+        self.assertGreater(ran["receipts"], 60)
+
+
 class TestCuts(FleetCase):
     def test_cut_and_healed_domains(self):
         """Domains cut off from each other serve on, and healing breaks nothing."""
