--- a/src/agatethread/client/_client.py
+++ b/src/agatethread/client/_client.py
@@ -1,6 +1,7 @@
 """One socket of a caller, with its streams and requests."""
 
 import asyncio
+import contextlib
 import secrets
 from collections import defaultdict
 from collections.abc import Coroutine
@@ -32,7 +33,11 @@
 _HELLO_TIMEOUT_S = 3.0
 #: Pause before an idempotent request with an unknown outcome is sent anew.
 _UNKNOWN_RETRY_S = 0.05
+#: A wait shorter than this ends at once, so the deadline counts as passed.
+_LEAST_WAIT_S = 0.001
 _MISSING_POLL_S = 0.05
+#: So many instances in a row that reach neither owner nor standby settle it.
+_MOST_UNREACHABLE = 8
 #: Memory for answers in fragments.
 _ANSWERS_LIMIT_BYTES = 64 << 20
 _VERDICTS = frozenset((Kind.ANSWER, Kind.REFUSED, Kind.UNKNOWN))
@@ -45,6 +50,8 @@
         self.service = service
         self.verdict = asyncio.get_running_loop().create_future()
         self.accepted = asyncio.Event()
+        self.news = asyncio.Event()
+        self.unreachable_count = 0
 
 
 class Client(asyncio.DatagramProtocol):
@@ -147,11 +154,24 @@
             return
         if envelope.kind == Kind.ACCEPTED:
             waiting.accepted.set()
+            waiting.unreachable_count = 0
+        elif envelope.kind == Kind.UNREACHABLE:
+            self._on_unreachable(envelope, waiting)
         elif envelope.kind == Kind.MISSING:
             self._outbox.resend(envelope.operation_id, envelope.missing)
         elif envelope.kind in _VERDICTS and not waiting.verdict.done():
             self._on_verdict(envelope, waiting)
 
+    def _on_unreachable(self, envelope: Envelope, waiting: _Waiting) -> None:
+        waiting.unreachable_count += 1
+        waiting.news.set()
+        if waiting.unreachable_count < _MOST_UNREACHABLE or waiting.verdict.done():
+            return
+        verdict = Envelope(
+            kind=Kind.UNKNOWN, reason=Reason.HOME_LOST, token=envelope.token
+        )
+        waiting.verdict.set_result(verdict)
+
     def _on_verdict(self, envelope: Envelope, waiting: _Waiting) -> None:
         try:
             whole = self._assembler.add(envelope.operation_id, b"", envelope)
@@ -159,6 +179,7 @@
             return
         if whole is not None:
             waiting.verdict.set_result(whole)
+            waiting.news.set()
 
     async def _ask_for_missing(self) -> None:
         while True:
@@ -314,15 +335,17 @@
     ) -> Envelope:
         loop = asyncio.get_running_loop()
         is_first = True
-        while (remaining_s := deadline_s - loop.time()) > 0:
+        while (remaining_s := deadline_s - loop.time()) > _LEAST_WAIT_S:
             request.deadline_ms = max(1, round(remaining_s * 1000))
             self._send_request(request, is_first)
             is_first = False
             accepted = waiting.accepted.is_set()
             interval_s = _ACCEPTED_RESEND_S if accepted else _RESEND_S
-            wait_s = min(interval_s, remaining_s)
-            done, _ = await asyncio.wait([waiting.verdict], timeout=wait_s)
-            if done:
+            waiting.news.clear()
+            with contextlib.suppress(TimeoutError):
+                wait_s = min(interval_s, remaining_s)
+                await asyncio.wait_for(waiting.news.wait(), wait_s)
+            if waiting.verdict.done():
                 return waiting.verdict.result()
         self._tokens.pop(request.service, None)
         return Envelope(kind=Kind.UNKNOWN, reason=Reason.DEADLINE)
--- a/src/agatethread/entry/_announcements.py
+++ b/src/agatethread/entry/_announcements.py
@@ -23,6 +23,7 @@
 #: The dispatcher and its standby hold the leases of a service.
 _HOLDER_COUNT = 2
 _INSTANCES_IN_ACK = 8
+_FALLBACKS_IN_ACK = 2
 _GONE_KEPT_S = 600.0
 _LONGEST_LEASE_MS = 600_000
 #: A sweep later than this means that the process did not run in between.
@@ -146,6 +147,9 @@
             self._on_gone(displaced)
 
         endpoint = self._endpoints.by_address[address]
+        if heard is not Heard.STALE:
+            domain = endpoint.announcement.failure_domain
+            endpoint.out_of_sight = not self._members.sees_domain(domain)
         if heard is Heard.CHANGED:
             self._on_changed(endpoint)
             if endpoint.gone and not was_gone:
@@ -174,18 +178,18 @@
 
     def _acknowledge(self, announcement: Announcement, source: bytes) -> None:
         domain = announcement.failure_domain
-        live = sorted(
-            self._members.live(), key=lambda member: member.failure_domain != domain
-        )
-        instances = [
-            format_address(unpack_address(member.address))
-            for member in live[:_INSTANCES_IN_ACK]
-        ]
+        near, far = [], []
+        for member in self._members.live():
+            group = near if member.failure_domain == domain else far
+            group.append(format_address(unpack_address(member.address)))
+        # A backend server that spoke to far instances as often as to near ones would
+        # lose its lease in a cut that leaves its own failure domain whole.
         acknowledgement = Envelope(
             kind=Kind.ANNOUNCE_ACK,
             sequence=announcement.sequence,
             incarnation=announcement.incarnation,
-            instances=instances,
+            instances=random.sample(near, min(len(near), _INSTANCES_IN_ACK)),
+            fallback_instances=random.sample(far, min(len(far), _FALLBACKS_IN_ACK)),
         )
         self._send_backend(source, acknowledgement.SerializeToString())
 
--- a/src/agatethread/entry/_requests.py
+++ b/src/agatethread/entry/_requests.py
@@ -150,16 +150,26 @@
             self._decide_here(envelope, token, caller)
             return
         if target == NO_MEMBER:
-            self._counters["home_lost"] += 1
-            fresh = self._ports.fresh_token(envelope.service)
-            verdict = unknown(envelope.operation_id, Reason.HOME_LOST, fresh)
-            self._ports.send_caller(caller, verdict)
+            self._say_unreachable(envelope, caller)
             return
 
         self._counters["request_relayed"] += 1
         relay = Relay(caller=caller, datagram=envelope.SerializeToString())
         self._ports.send_peer(target.address, Peer(relay=relay))
 
+    def _say_unreachable(self, envelope: Envelope, caller: bytes) -> None:
+        self._counters["home_lost"] += 1
+        fresh = self._ports.fresh_token(envelope.service)
+        if envelope.idempotent:
+            verdict = unknown(envelope.operation_id, Reason.HOME_LOST, fresh)
+            self._ports.send_caller(caller, verdict)
+            return
+        # No verdict: an instance on the other side of a cut may reach the owner.
+        hint = Envelope(
+            kind=Kind.UNREACHABLE, operation_id=envelope.operation_id, token=fresh
+        )
+        self._ports.send_caller(caller, hint.SerializeToString())
+
     def _token_of(self, envelope: Envelope) -> Token:
         sealed, _ = operation_id_parts(envelope.operation_id)
         token = parse_token(self._sealer, sealed)
--- a/src/agatethread/routing/_endpoints.py
+++ b/src/agatethread/routing/_endpoints.py
@@ -50,6 +50,7 @@
         "inherited_streams",
         "inherited_until_s",
         "last_used_s",
+        "out_of_sight",
         "lease_until_s",
         "penalty_until_s",
         "ramp_from_s",
@@ -69,6 +70,8 @@
         self.lease_until_s = now_s + announcement.lease_ms / 1000
         self.gone = False
         self.drained = False
+        #: Whether its failure domain is cut off from here.
+        self.out_of_sight = False
         self.weight = 1.0
         self.streams = 0
         self.in_flight = 0
@@ -89,7 +92,7 @@
     @property
     def takes_new_work(self) -> bool:
         """Whether it may be given new flows and requests."""
-        return not (self.gone or self.drained or self.closing)
+        return not (self.gone or self.drained or self.closing or self.out_of_sight)
 
     @property
     def stream_load(self) -> int:
--- a/src/agatethread/settings/_model.py
+++ b/src/agatethread/settings/_model.py
@@ -54,7 +54,7 @@
     #: Time between probes of other instances.
     probe_interval_s: float = _bounded(0.2, 0.02, 10.0)
     #: Time from suspecting an instance to calling it dead.
-    suspicion_s: float = _bounded(0.8, 0.05, 60.0)
+    suspicion_s: float = _bounded(0.5, 0.05, 60.0)
     #: Time an instance waits after joining before it dispatches.
     warm_up_s: float = _bounded(1.5, 0.0, 60.0)
     #: How long a verdict is kept for late copies.
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -53,6 +53,8 @@
         self._random = random.Random(settings["seed"])
         self._incarnation = time.time_ns()
         self._instances = [parse_address(text) for text in settings["instances"]]
+        self._fallbacks: list[Address] = []
+        self._acknowledged_s = time.monotonic()
         self._streams: dict[int, _Stream] = {}
         self._running: dict[tuple[bytes, int], asyncio.Task] = {}
         self._unreceived: dict[tuple[bytes, int], tuple[list[bytes], float]] = {}
@@ -101,8 +103,7 @@
             body = announcement.SerializeToString(deterministic=True)
             announcement.mac = sign(bytes.fromhex(settings["announce_key"]), body)
         envelope = Envelope(kind=Kind.ANNOUNCE, announcement=announcement)
-        count = min(2, len(self._instances))
-        for target in self._random.sample(self._instances, count):
+        for target in self._announce_targets():
             self._transport.sendto(envelope.SerializeToString(), target)
 
     async def announce_forever(self) -> None:
@@ -111,6 +112,21 @@
             self.announce()
             await asyncio.sleep(self._settings["announce_interval_ms"] / 1000)
 
+    def _on_acknowledged(self, envelope: Envelope) -> None:
+        near = [parse_address(text) for text in envelope.instances]
+        far = [parse_address(text) for text in envelope.fallback_instances]
+        self._instances = near or far
+        self._fallbacks = far
+        self._acknowledged_s = time.monotonic()
+
+    def _announce_targets(self) -> list[Address]:
+        count = min(2, len(self._instances))
+        targets = self._random.sample(self._instances, count)
+        interval_s = self._settings["announce_interval_ms"] / 1000
+        if time.monotonic() - self._acknowledged_s > 1.5 * interval_s:
+            targets += self._fallbacks
+        return targets
+
     # -- datagrams ----------------------------------------------------------------
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
@@ -125,7 +141,7 @@
             return
         if kind == Kind.ANNOUNCE_ACK:
             if envelope.incarnation == self._incarnation:
-                self._instances = [parse_address(text) for text in envelope.instances]
+                self._on_acknowledged(envelope)
             return
         if envelope.service != self._settings["service"]:
             self.counts["misdelivered"] += 1
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -134,6 +134,16 @@
         with self.assertRaises(OperationUnknownError):
             run(service, scenario)
 
+    def test_unreachable_is_tried_through_others(self):
+        """An instance that reaches neither owner nor standby settles nothing alone."""
+        hint = Envelope(kind=Kind.UNREACHABLE, token=TOKEN)
+        answer = Envelope(kind=Kind.ANSWER, payload=b"y")
+        service = FakeService(HELLO=[welcome()], REQUEST=[hint] * 3 + [answer])
+        self.assertEqual(self.request(service, timeout_s=0.15), b"y")
+        service = FakeService(HELLO=[welcome()], REQUEST=[hint] * 20)
+        with self.assertRaisesRegex(OperationUnknownError, "HOME_LOST"):
+            self.request(service)
+
     def test_nobody_there(self):
         """Without any instance the request is not sent, and that is said."""
         service = FakeService()
--- a/tests/entry/test_announcements.py
+++ b/tests/entry/test_announcements.py
@@ -15,13 +15,13 @@
     def make_desk(self, table):
         self.clock = Clock()
         self.endpoints = EndpointTable()
-        self.sent, self.gone = [], []
+        self.sent, self.gone, self.acknowledged = [], [], []
         return AnnouncementDesk(
             ENTRY,
             table,
             self.endpoints,
             lambda target, peer: self.sent.append((target, peer)),
-            lambda target, data: None,
+            lambda target, data: self.acknowledged.append(Envelope.FromString(data)),
             self.clock,
             lambda endpoint: None,
             self.gone.append,
@@ -72,6 +72,19 @@
         self.pass_time(desk, 3.1)
         self.assertEqual(len(self.gone), 1)
 
+    def test_cut_domain_gets_no_new_work(self):
+        """While a failure domain is out of sight its backend servers get nothing."""
+        table = fleet_table(1)
+        table.apply(member(2, "b"))
+        desk = self.make_desk(table)
+        self.announce(desk, failure_domain="b")
+        endpoint = self.endpoints.by_address[address(9001)]
+        self.assertTrue(endpoint.takes_new_work)
+        table.apply(dead(member(2, "b")))
+        self.assertFalse(endpoint.takes_new_work)
+        table.apply(member(2, "b", counter=1))
+        self.assertTrue(endpoint.takes_new_work)
+
     def test_process_that_was_stopped_ends_nothing(self):
         """After a pause of the process each backend server gets one more lease."""
         table = fleet_table(1)
@@ -97,6 +110,17 @@
         self.announce(desk, sequence=3, draining=True)
         self.assertEqual(len(self.sent), 6)
 
+    def test_acknowledgement_names_the_near_instances(self):
+        """A backend server is pointed to its own failure domain, others apart."""
+        table = fleet_table(3)
+        table.apply(member(9, "b"))
+        desk = self.make_desk(table)
+        self.announce(desk)
+        (acknowledgement,) = self.acknowledged
+        near = {"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}
+        self.assertEqual(set(acknowledgement.instances), near)
+        self.assertEqual(acknowledgement.fallback_instances, ["127.0.0.1:9"])
+
     def test_nonsense_is_refused(self):
         """An announcement without service, incarnation or lease changes nothing."""
         desk = self.make_desk(fleet_table(2))
