--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -154,6 +154,7 @@
         "answered": counts["requests_answered"],
         "refused": counts["requests_refused"],
         "unknown": counts["requests_unknown"],
+        "reasons": caller["reasons"],
         "doubled": doubled,
         "false_refusals": sum(1 for n in caller["refused"] if runs[n]),
         "p50_ms": caller["latency_ms"]["50"],
--- a/src/agatethread/entry/_announcements.py
+++ b/src/agatethread/entry/_announcements.py
@@ -91,11 +91,10 @@
         domains = {member.failure_domain for member in self._members.live()}
         now_s = self._now_s()
         for endpoint in self._endpoints.by_address.values():
+            domain = endpoint.announcement.failure_domain
+            endpoint.out_of_sight = domain not in domains
             is_new = endpoint.service in held - self._held
-            if (
-                is_new
-                or endpoint.announcement.failure_domain in domains - self._domains
-            ):
+            if is_new or domain in domains - self._domains:
                 endpoint.extend_lease(now_s)
         self._held, self._domains = held, domains
 
