--- a/src/agatethread/client/_client.py
+++ b/src/agatethread/client/_client.py
@@ -38,6 +38,10 @@
 _MISSING_POLL_S = 0.05
 #: So many instances in a row that reach neither owner nor standby settle it.
 _MOST_UNREACHABLE = 8
+#: Hints closer together than this count once: many fragments bring many.
+_HINT_INTERVAL_S = 0.004
+#: After a sign of life of the owner no hint counts for a while.
+_HEARD_LATELY_S = 0.5
 #: Memory for answers in fragments.
 _ANSWERS_LIMIT_BYTES = 64 << 20
 _VERDICTS = frozenset((Kind.ANSWER, Kind.REFUSED, Kind.UNKNOWN))
@@ -46,12 +50,17 @@
 class _Waiting:
     """A request in progress."""
 
-    def __init__(self, service: str) -> None:
-        self.service = service
+    def __init__(self, request: Envelope) -> None:
+        self.service = request.service
+        # One datagram that may run twice is best sent anew under another token.
+        is_small = len(request.payload) <= MAX_PAYLOAD_BYTES
+        self.may_restart = request.idempotent and is_small
         self.verdict = asyncio.get_running_loop().create_future()
         self.accepted = asyncio.Event()
         self.news = asyncio.Event()
         self.unreachable_count = 0
+        self.unreachable_s = 0.0
+        self.heard_s = 0.0
 
 
 class Client(asyncio.DatagramProtocol):
@@ -154,23 +163,34 @@
             return
         if envelope.kind == Kind.ACCEPTED:
             waiting.accepted.set()
-            waiting.unreachable_count = 0
+            self._on_sign_of_life(waiting)
         elif envelope.kind == Kind.UNREACHABLE:
             self._on_unreachable(envelope, waiting)
         elif envelope.kind == Kind.MISSING:
+            self._on_sign_of_life(waiting)
             self._outbox.resend(envelope.operation_id, envelope.missing)
         elif envelope.kind in _VERDICTS and not waiting.verdict.done():
             self._on_verdict(envelope, waiting)
 
+    @staticmethod
+    def _on_sign_of_life(waiting: _Waiting) -> None:
+        waiting.heard_s = asyncio.get_running_loop().time()
+        waiting.unreachable_count = 0
+
     def _on_unreachable(self, envelope: Envelope, waiting: _Waiting) -> None:
+        now_s = asyncio.get_running_loop().time()
+        recent = now_s - waiting.unreachable_s < _HINT_INTERVAL_S
+        if recent or now_s - waiting.heard_s < _HEARD_LATELY_S:
+            return
+        waiting.unreachable_s = now_s
         waiting.unreachable_count += 1
         waiting.news.set()
-        if waiting.unreachable_count < _MOST_UNREACHABLE or waiting.verdict.done():
-            return
-        verdict = Envelope(
-            kind=Kind.UNKNOWN, reason=Reason.HOME_LOST, token=envelope.token
-        )
-        waiting.verdict.set_result(verdict)
+        enough = waiting.may_restart or waiting.unreachable_count >= _MOST_UNREACHABLE
+        if enough and not waiting.verdict.done():
+            verdict = Envelope(
+                kind=Kind.UNKNOWN, reason=Reason.HOME_LOST, token=envelope.token
+            )
+            waiting.verdict.set_result(verdict)
 
     def _on_verdict(self, envelope: Envelope, waiting: _Waiting) -> None:
         try:
@@ -319,7 +339,7 @@
             await asyncio.sleep(pause_s)
 
     async def _run(self, request: Envelope, deadline_s: float) -> Envelope:
-        waiting = _Waiting(request.service)
+        waiting = _Waiting(request)
         self._requests[request.operation_id] = waiting
         try:
             return await self._resend_until_verdict(request, waiting, deadline_s)
--- a/src/agatethread/entry/_requests.py
+++ b/src/agatethread/entry/_requests.py
@@ -11,7 +11,6 @@
     OperationOwner,
     Ports,
     ServiceQueue,
-    unknown,
 )
 from agatethread.routing import EndpointTable
 from agatethread.settings import EntrySettings
@@ -160,10 +159,6 @@
     def _say_unreachable(self, envelope: Envelope, caller: bytes) -> None:
         self._counters["home_lost"] += 1
         fresh = self._ports.fresh_token(envelope.service)
-        if envelope.idempotent:
-            verdict = unknown(envelope.operation_id, Reason.HOME_LOST, fresh)
-            self._ports.send_caller(caller, verdict)
-            return
         # No verdict: an instance on the other side of a cut may reach the owner.
         hint = Envelope(
             kind=Kind.UNREACHABLE, operation_id=envelope.operation_id, token=fresh
