--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN := $(VENV)/bin/python
 LAYOUT ?= faellesfane
 
-.PHONY: install demo test test-all lint format bench-forward bench-slopes bench-flows wire
+.PHONY: install demo test test-all lint format bench-forward bench-slopes bench-flows bench-faults fuzz wire
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -29,5 +29,18 @@
 bench-forward: install
 	$(RUN) -m benchmarks.forward
 
+bench-slopes: install
+	$(RUN) -m benchmarks.slopes
+
+bench-flows: install
+	$(RUN) -m benchmarks.flows --plot docs/results/flows-faellesfane.png
+
+bench-faults: install
+	$(RUN) -m benchmarks.faults
+
+fuzz: install
+	$(RUN) -m benchmarks.fuzz_operations --operations 1000000 --seed 2
+	HYPOTHESIS_PROFILE=long $(RUN) -m unittest tests.control.test_raft tests.operations.test_machine
+
 wire: install
 	scripts/generate_wire.sh
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -51,6 +51,7 @@
     PutDocument,
     WatchUpdate,
 )
+from benchmarks.size_to_come import print_table
 
 SEALER = Sealer([b"k" * 32])
 DOCUMENT = """{
@@ -361,6 +362,7 @@
             "residual": round(slope.residual, 4),
         }
     print(json.dumps(report, indent=2))
+    print_table(report)
 
 
 if __name__ == "__main__":
--- a/src/agatethread/entry/_instance.py
+++ b/src/agatethread/entry/_instance.py
@@ -53,6 +53,7 @@
 
 _SWEEP_INTERVAL_S = 0.1
 _REPAIR_INTERVAL_S = 1.0
+_SECOND_GREETING_S = 3.0
 #: Time for the fabric and the peers to learn that this instance is leaving.
 _LEAVE_NOTICE_S = 1.0
 _STOP_POLL_S = 0.05
@@ -459,10 +460,17 @@
             self.members.change_me(state=MemberState.ALIVE)
             self.prober.tell_all()
 
+    async def _greet(self, member: Member) -> None:
+        # Again a little later: whoever heard of a backend server in between may not
+        # have heard of the newcomer yet.
+        self.announcements.tell_newcomer(member)
+        await self.sleep(_SECOND_GREETING_S)
+        self.announcements.tell_newcomer(member)
+
     def _on_member_changed(self, member: Member) -> None:
         if member.state == MemberState.ALIVE and member.ref not in self._greeted:
             self._greeted.add(member.ref)
-            self.announcements.tell_newcomer(member)
+            self.add_future(self._greet(member))
         elif member.state == MemberState.DEAD:
             self._greeted.discard(member.ref)
         now_s = self.timers.now_s()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -88,6 +88,7 @@
         self._backend_settings = backend_settings or {}
         self.nodes: dict[str, Node] = {}
         self.processes: dict[str, subprocess.Popen] = {}
+        self._lacking: list[str] = []
         self._link_nodes: list[dict[str, str]] = []
         self._public: dict[str, str] = {}
         self._admin: dict[str, str] = {}
@@ -284,23 +285,34 @@
             self.start("caller")
 
     def _all_ready(self) -> bool:
-        endpoint_count = sum(
-            layout.endpoint_count for layout in self.layout.services.values()
+        self._lacking = [
+            f"{name}: {lack}"
+            for name in self.names("entry")
+            if (lack := self._lack(self.dump(name)))
+        ]
+        return not self._lacking
+
+    def _lack(self, state: dict[str, Any] | None) -> str:
+        """Say what an instance still waits for, or nothing."""
+        if state is None:
+            return "does not answer"
+        entry = state["entry"]
+        services = self.layout.services.values()
+        wanted = {
+            "documents": len(services),
+            "members": self.layout.entry_count,
+            "endpoints": sum(service.endpoint_count for service in services),
+        }
+        found = {
+            "documents": len(entry["documents"]),
+            "members": sum(not member["joining"] for member in entry["members"]),
+            "endpoints": entry["endpoints_total"],
+        }
+        return ", ".join(
+            f"{found[name]} of {count} {name}"
+            for name, count in wanted.items()
+            if found[name] < count
         )
-        for name in self.names("entry"):
-            state = self.dump(name)
-            if state is None:
-                return False
-            entry = state["entry"]
-            if len(entry["documents"]) < len(self.layout.services):
-                return False
-            if any(member["joining"] for member in entry["members"]):
-                return False
-            if entry["members_total"] < self.layout.entry_count:
-                return False
-            if entry["endpoints_total"] < endpoint_count:
-                return False
-        return True
 
     def names(self, kind: str) -> list[str]:
         """List the nodes of a kind.
@@ -511,7 +523,9 @@
         deadline_s = time.monotonic() + timeout_s
         while not condition():
             if time.monotonic() > deadline_s:
-                raise TimeoutError(f"{what} not ready after {timeout_s} s")
+                raise TimeoutError(
+                    f"{what} not ready after {timeout_s} s; {self._lacking}"
+                )
             time.sleep(0.1)
 
     def result(self, name: str) -> dict[str, Any]:
--- a/tests/entry/test_announcements.py
+++ b/tests/entry/test_announcements.py
@@ -110,6 +110,17 @@
         self.announce(desk, sequence=3, draining=True)
         self.assertEqual(len(self.sent), 6)
 
+    def test_newcomer_is_told_what_its_dispatcher_holds(self):
+        """The dispatcher, and nobody else, tells a new instance what it holds."""
+        ranked = fleet_table(3).rank(service_hash("tab"), 3)
+        told = {}
+        for me in ranked:
+            desk = self.make_desk(fleet_table(3, me=int(me.name.split("-")[1])))
+            desk.on_relayed(announcement(address=address(9001)))
+            desk.tell_newcomer(member(9))
+            told[me.name] = len(self.sent)
+        self.assertEqual(list(told.values()), [1, 0, 0])
+
     def test_acknowledgement_names_the_near_instances(self):
         """A backend server is pointed to its own failure domain, others apart."""
         table = fleet_table(3)
