--- a/src/agatethread/cli/__init__.py
+++ b/src/agatethread/cli/__init__.py
@@ -1,7 +1,19 @@
 """The daemon's and the operators' commands."""
 
-from agatethread.cli._calls import ControlTarget, dump_instance
+from agatethread.cli._calls import (
+    ControlTarget,
+    all_statuses,
+    apply_command,
+    dump_instance,
+)
 from agatethread.cli._ctl import run_ctl
 from agatethread.cli._daemon import run_daemon
 
-__all__ = ["ControlTarget", "dump_instance", "run_ctl", "run_daemon"]
+__all__ = [
+    "ControlTarget",
+    "all_statuses",
+    "apply_command",
+    "dump_instance",
+    "run_ctl",
+    "run_daemon",
+]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -398,6 +398,12 @@
         """
         return send_command(self.nodes[name].control_port, **command)
 
+    @property
+    def target(self) -> ControlTarget:
+        """The control instances, for calls from this process."""
+        addresses = tuple(self._admin[name] for name in self.names("control"))
+        return ControlTarget(addresses, _READY_TIMEOUT_S)
+
     def ctl(self, *arguments: str, timeout_s: float = 10.0) -> tuple[int, str, str]:
         """Run the operators' command.
 
