--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -11,8 +11,8 @@
 from collections import Counter
 from pathlib import Path
 
-from standins.fleet import Fleet
-from standins.layouts import FAELLESFANE, ServiceLayout, scaled
+from standins.fleet import Fleet, scaled
+from standins.layouts import FAELLESFANE, ServiceLayout
 
 _CAPACITY_PER_S = 100
 _MEASURE_S = 8.0
--- a/src/agatethread/operations/_owner.py
+++ b/src/agatethread/operations/_owner.py
@@ -60,6 +60,7 @@
 class _Outcome:
     end: _End
     reply: Envelope | None = None
+    waited_s: float = 0.0
 
 
 class OperationOwner:
@@ -432,7 +433,7 @@
             return outcome
         except TimeoutError:
             self._cancel_at_backend(operation)
-            return _Outcome(_End.TIMED_OUT)
+            return _Outcome(_End.TIMED_OUT, waited_s=wait_s)
 
     def _dispatch(self, operation: Operation, endpoint: Endpoint) -> None:
         label = OperationLabel(
@@ -551,7 +552,10 @@
                 return None
             raise RefusedError(Reason.OVERLOADED, max(retry_after_s, 0.05))
 
-        if outcome.end is not _End.CANCELLED:
+        timed_out = outcome.end is _End.TIMED_OUT
+        if outcome.end is _End.LOST or (
+            timed_out and queue.is_patient(outcome.waited_s)
+        ):
             endpoint.fail(now_s)
         in_time = now_s < operation.deadline_at_s and not operation.cancelled
         if operation.idempotent and in_time and queue.spend_retry():
--- a/src/agatethread/operations/_queue.py
+++ b/src/agatethread/operations/_queue.py
@@ -14,6 +14,10 @@
 _SMOOTHING = 0.1
 _NO_ENDPOINT_RETRY_S = 1.0
 _MOST_RETRY_TOKENS = 20.0
+_WAIT_MARGIN = 1.25
+_SERVICE_MARGIN = 2.5
+#: A backend server is blamed for a timeout of so many usual service times.
+_BLAME_FACTOR = 5.0
 
 
 class ServiceQueue:
@@ -102,6 +106,12 @@
             return math.inf
         return (self.waiting + 1) * self._service_time_s / slots
 
+    @property
+    def _time_to_serve_s(self) -> float:
+        # A start that leaves only the usual time would miss half of its deadlines,
+        # and what misses its deadline has used its slot for nothing.
+        return _SERVICE_MARGIN * self._service_time_s
+
     def _check_admissible(self, deadline_at_s: float) -> None:
         wait_s = self.expected_wait_s()
         if wait_s == math.inf:
@@ -109,7 +119,7 @@
         if self.waiting >= self._document().queue_limit_count:
             raise RefusedError(Reason.OVERLOADED, wait_s)
 
-        done_at_s = self._now_s() + wait_s + self._service_time_s
+        done_at_s = self._now_s() + _WAIT_MARGIN * wait_s + self._time_to_serve_s
         if done_at_s > deadline_at_s:
             raise RefusedError(Reason.DEADLINE, wait_s)
 
@@ -117,7 +127,7 @@
         granted: asyncio.Future[Endpoint] = asyncio.get_running_loop().create_future()
         self._by_partner.setdefault(partner, deque()).append(granted)
         self.waiting += 1
-        latest_start_s = deadline_at_s - self._service_time_s
+        latest_start_s = deadline_at_s - self._time_to_serve_s
         try:
             return await asyncio.wait_for(granted, latest_start_s - self._now_s())
         except TimeoutError:
@@ -176,6 +186,21 @@
                 return True
         return False
 
+    def is_patient(self, waited_s: float) -> bool:
+        """Tell whether an attempt that timed out had ample time.
+
+        Parameters
+        ----------
+        waited_s : float
+            How long it was given.
+
+        Returns
+        -------
+        bool
+            False if a healthy backend server might not have made it either.
+        """
+        return waited_s > _BLAME_FACTOR * self._service_time_s
+
     def refuse_all(self, reason: int) -> None:
         """Refuse everything that waits.
 
