--- a/benchmarks/operations_world.py
+++ b/benchmarks/operations_world.py
@@ -278,7 +278,7 @@
         elif peer.HasField("claim"):
             self.desk.claims.on_claim(sender, peer.claim)
         elif peer.HasField("claim_reply"):
-            self.desk.owner.on_claim_reply(peer.claim_reply)
+            self.desk.owner.claims.on_reply(peer.claim_reply)
         elif peer.HasField("verdict_note"):
             self.desk.claims.on_verdict_note(peer.verdict_note)
 
@@ -344,6 +344,7 @@
         self.client = Client({SERVICE: "127.0.0.1:7"})
         self.client.connection_made(_Transport(self))
         self._requests: set[asyncio.Task] = set()
+        self._sent_count = 0
 
     def add_node(self, number: int, incarnation: int) -> None:
         """Start an instance, or start it anew with a new incarnation."""
@@ -431,6 +432,7 @@
 
     def request(self, label: bytes, idempotent: bool, timeout_s: float) -> None:
         """Send a request and note its verdict."""
+        self._sent_count += 1
         task = asyncio.ensure_future(self._request(label, idempotent, timeout_s))
         self._requests.add(task)
         task.add_done_callback(self._requests.discard)
@@ -453,7 +455,7 @@
     @property
     def open_count(self) -> int:
         """Requests without a verdict."""
-        return len(self._requests)
+        return self._sent_count - len(self.verdicts)
 
     def violations(self) -> list[str]:
         """List the promises that were broken so far.
--- a/src/agatethread/client/_client.py
+++ b/src/agatethread/client/_client.py
@@ -7,10 +7,9 @@
 from collections.abc import Coroutine
 
 from agatethread.client._stream import Stream
+from agatethread.client._waiting import Waiting, failure, pause_s
 from agatethread.exceptions import (
-    AgatethreadError,
     DatagramError,
-    OperationRefusedError,
     OperationUnknownError,
     PayloadTooLargeError,
     TransferLimitError,
@@ -31,38 +30,14 @@
 #: Resend interval once an instance has said that it works on the request.
 _ACCEPTED_RESEND_S = 0.5
 _HELLO_TIMEOUT_S = 3.0
-#: Pause before an idempotent request with an unknown outcome is sent anew.
-_UNKNOWN_RETRY_S = 0.05
 #: A wait shorter than this ends at once, so the deadline counts as passed.
 _LEAST_WAIT_S = 0.001
 _MISSING_POLL_S = 0.05
-#: So many instances in a row that reach neither owner nor standby settle it.
-_MOST_UNREACHABLE = 8
-#: Hints closer together than this count once: many fragments bring many.
-_HINT_INTERVAL_S = 0.004
-#: After a sign of life of the owner no hint counts for a while.
-_HEARD_LATELY_S = 0.5
 #: Memory for answers in fragments.
 _ANSWERS_LIMIT_BYTES = 64 << 20
 _VERDICTS = frozenset((Kind.ANSWER, Kind.REFUSED, Kind.UNKNOWN))
 
 
-class _Waiting:
-    """A request in progress."""
-
-    def __init__(self, request: Envelope) -> None:
-        self.service = request.service
-        # One datagram that may run twice is best sent anew under another token.
-        is_small = len(request.payload) <= MAX_PAYLOAD_BYTES
-        self.may_restart = request.idempotent and is_small
-        self.verdict = asyncio.get_running_loop().create_future()
-        self.accepted = asyncio.Event()
-        self.news = asyncio.Event()
-        self.unreachable_count = 0
-        self.unreachable_s = 0.0
-        self.heard_s = 0.0
-
-
 class Client(asyncio.DatagramProtocol):
     """Streams and requests to the services behind some addresses.
 
@@ -81,7 +56,7 @@
         self._partner = partner
         self._transport: asyncio.DatagramTransport | None = None
         self._streams: dict[int, Stream] = {}
-        self._requests: dict[bytes, _Waiting] = {}
+        self._requests: dict[bytes, Waiting] = {}
         self._tokens: dict[str, bytes] = {}
         self._welcomes: dict[str, asyncio.Event] = defaultdict(asyncio.Event)
         self._tasks: set[asyncio.Task] = set()
@@ -163,36 +138,16 @@
             return
         if envelope.kind == Kind.ACCEPTED:
             waiting.accepted.set()
-            self._on_sign_of_life(waiting)
+            waiting.on_sign_of_life()
         elif envelope.kind == Kind.UNREACHABLE:
-            self._on_unreachable(envelope, waiting)
+            waiting.on_unreachable(envelope.token)
         elif envelope.kind == Kind.MISSING:
-            self._on_sign_of_life(waiting)
+            waiting.on_sign_of_life()
             self._outbox.resend(envelope.operation_id, envelope.missing)
         elif envelope.kind in _VERDICTS and not waiting.verdict.done():
             self._on_verdict(envelope, waiting)
 
-    @staticmethod
-    def _on_sign_of_life(waiting: _Waiting) -> None:
-        waiting.heard_s = asyncio.get_running_loop().time()
-        waiting.unreachable_count = 0
-
-    def _on_unreachable(self, envelope: Envelope, waiting: _Waiting) -> None:
-        now_s = asyncio.get_running_loop().time()
-        recent = now_s - waiting.unreachable_s < _HINT_INTERVAL_S
-        if recent or now_s - waiting.heard_s < _HEARD_LATELY_S:
-            return
-        waiting.unreachable_s = now_s
-        waiting.unreachable_count += 1
-        waiting.news.set()
-        enough = waiting.may_restart or waiting.unreachable_count >= _MOST_UNREACHABLE
-        if enough and not waiting.verdict.done():
-            verdict = Envelope(
-                kind=Kind.UNKNOWN, reason=Reason.HOME_LOST, token=envelope.token
-            )
-            waiting.verdict.set_result(verdict)
-
-    def _on_verdict(self, envelope: Envelope, waiting: _Waiting) -> None:
+    def _on_verdict(self, envelope: Envelope, waiting: Waiting) -> None:
         try:
             whole = self._assembler.add(envelope.operation_id, b"", envelope)
         except (DatagramError, TransferLimitError):
@@ -330,16 +285,16 @@
             may_have_run = may_have_run or verdict.kind == Kind.UNKNOWN
             if may_have_run and not idempotent:
                 raise OperationUnknownError(Reason.Name(verdict.reason))
-            pause_s = _pause_s(verdict)
+            wait_s = pause_s(verdict)
             if (
-                pause_s is None
-                or asyncio.get_running_loop().time() + pause_s >= deadline_s
+                wait_s is None
+                or asyncio.get_running_loop().time() + wait_s >= deadline_s
             ):
-                raise _failure(verdict, may_have_run)
-            await asyncio.sleep(pause_s)
+                raise failure(verdict, may_have_run)
+            await asyncio.sleep(wait_s)
 
     async def _run(self, request: Envelope, deadline_s: float) -> Envelope:
-        waiting = _Waiting(request)
+        waiting = Waiting(request)
         self._requests[request.operation_id] = waiting
         try:
             return await self._resend_until_verdict(request, waiting, deadline_s)
@@ -351,7 +306,7 @@
             self._outbox.done(request.operation_id)
 
     async def _resend_until_verdict(
-        self, request: Envelope, waiting: _Waiting, deadline_s: float
+        self, request: Envelope, waiting: Waiting, deadline_s: float
     ) -> Envelope:
         loop = asyncio.get_running_loop()
         is_first = True
@@ -409,20 +364,6 @@
         raise UnavailableError(f"no instance answers for {service}")
 
 
-def _pause_s(verdict: Envelope) -> float | None:
-    """Time until the request is sent anew, or None if the caller must decide."""
-    if verdict.kind == Kind.UNKNOWN:
-        return _UNKNOWN_RETRY_S
-    return verdict.retry_after_ms / 1000 if verdict.reason == Reason.MOVED else None
-
-
-def _failure(verdict: Envelope, may_have_run: bool) -> AgatethreadError:
-    reason = Reason.Name(verdict.reason)
-    if may_have_run:
-        return OperationUnknownError(reason)
-    return OperationRefusedError(reason, verdict.retry_after_ms / 1000)
-
-
 async def connect(addresses: dict[str, str], partner: str = "") -> Client:
     """Make a client with a socket of its own.
 
--- a/src/agatethread/control/__init__.py
+++ b/src/agatethread/control/__init__.py
@@ -1,7 +1,8 @@
 """Control role: a replicated log of service documents, handed to entry instances."""
 
 from agatethread.control._instance import ControlInstance
-from agatethread.control._raft import PeerCalls, RaftNode, Role
+from agatethread.control._raft import RaftNode
+from agatethread.control._roles import PeerCalls, Role
 from agatethread.control._state import DocumentState
 from agatethread.control._storage import LogStorage
 
--- a/src/agatethread/control/_peers.py
+++ b/src/agatethread/control/_peers.py
@@ -4,7 +4,7 @@
 
 import grpc
 
-from agatethread.control._raft import PeerCalls
+from agatethread.control._roles import PeerCalls
 from agatethread.exceptions import UnavailableError
 from agatethread.rpc import Credentials, open_channel
 from agatethread.wire.control_pb2_grpc import ReplicationStub
--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -4,12 +4,13 @@
 """
 
 import asyncio
-import enum
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from mode import Service
 
+from agatethread.control._log import ReplicatedLog
+from agatethread.control._roles import PeerCalls, Role
 from agatethread.control._state import DocumentState
 from agatethread.control._storage import LogStorage
 from agatethread.exceptions import NotLeaderError, UnavailableError
@@ -27,40 +28,11 @@
     VoteRequest,
 )
 
-_MOST_ENTRIES_IN_APPEND = 256
 _ELECTION_POLL_S = 0.02
 
 log = make_logger("raft")
 
 
-class Role(enum.Enum):
-    """What an instance is in its term."""
-
-    FOLLOWER = "follower"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-class PeerCalls:
-    """Calls to one other control instance.
-
-    Parameters
-    ----------
-    vote, append, install_snapshot : callable
-        Send the request and return the reply; raise `UnavailableError`.
-    """
-
-    def __init__(
-        self,
-        vote: Callable[[VoteRequest], Awaitable[VoteReply]],
-        append: Callable[[AppendRequest], Awaitable[AppendReply]],
-        install_snapshot: Callable[[SnapshotRequest], Awaitable[AppendReply]],
-    ):
-        self.vote = vote
-        self.append = append
-        self.install_snapshot = install_snapshot
-
-
 class RaftNode(Service):
     """One member of the log.
 
@@ -111,11 +83,8 @@
         self.term = recovered.hard_state.term
         self._voted_for = recovered.hard_state.voted_for
         self.documents.restore(recovered.snapshot)
-        self._snapshot = recovered.snapshot
-        self._base_index = recovered.snapshot.last_index
-        self._base_term = recovered.snapshot.last_term
-        self._entries = recovered.entries
-        self.commit_index = self._base_index
+        self._log = ReplicatedLog(self._storage, recovered.snapshot, recovered.entries)
+        self.commit_index = self._log.base_index
         # An empty disk may be a lost one, that forgot its votes and entries. Until a
         # leader has filled it, it votes only for a log that never held anything, and
         # such a log needs every member's vote: one that holds entries says no.
@@ -126,16 +95,7 @@
     @property
     def last_index(self) -> int:
         """Index of the last entry."""
-        return self._base_index + len(self._entries)
-
-    def _term_at(self, index: int) -> int:
-        if index == self._base_index:
-            return self._base_term
-        return self._entries[index - self._base_index - 1].term
-
-    def _entries_from(self, index: int) -> list[LogEntry]:
-        start = index - self._base_index - 1
-        return self._entries[start : start + _MOST_ENTRIES_IN_APPEND]
+        return self._log.last_index
 
     def committed_entries(self) -> list[LogEntry]:
         """List the committed entries that are not yet in a snapshot.
@@ -145,11 +105,7 @@
         list of LogEntry
             In order.
         """
-        return self._entries[: self.commit_index - self._base_index]
-
-    def _append(self, entries: list[LogEntry]) -> None:
-        self._storage.append(entries)
-        self._entries.extend(entries)
+        return self._log.between(self._log.base_index, self.commit_index)
 
     def _save_hard_state(self, term: int, voted_for: str) -> None:
         hard_state = HardState(term=term, voted_for=voted_for, may_vote=self._may_vote)
@@ -224,7 +180,7 @@
             term=term,
             candidate=self.name,
             last_index=self.last_index,
-            last_term=self._term_at(self.last_index),
+            last_term=self._log.term_at(self.last_index),
             pre_vote=pre_vote,
         )
         needed = self._votes_needed
@@ -270,7 +226,7 @@
             self._wake[name] = asyncio.Event()
             self.add_future(self._replicate(name, self.term))
         # An entry of its own term lets it commit those of earlier terms.
-        self._append([LogEntry(index=self.last_index + 1, term=self.term)])
+        self._log.append([LogEntry(index=self.last_index + 1, term=self.term)])
         self._advance_commit()
 
     def on_vote(self, request: VoteRequest) -> VoteReply:
@@ -315,7 +271,7 @@
         )
 
     def _is_up_to_date(self, request: VoteRequest) -> bool:
-        mine = (self._term_at(self.last_index), self.last_index)
+        mine = (self._log.term_at(self.last_index), self.last_index)
         return (request.last_term, request.last_index) >= mine
 
     def _can_vote_for(self, request: VoteRequest) -> bool:
@@ -342,7 +298,7 @@
     async def _send_to(self, name: str, peer: PeerCalls) -> bool:
         """Send what a follower lacks; return whether there is more to send."""
         term = self.term
-        if self._next[name] <= self._base_index:
+        if self._next[name] <= self._log.base_index:
             reply = await peer.install_snapshot(self._snapshot_request())
         else:
             reply = await peer.append(self._append_request(self._next[name]))
@@ -367,24 +323,25 @@
             term=self.term,
             leader=self.name,
             previous_index=previous,
-            previous_term=self._term_at(previous),
-            entries=self._entries_from(next_index),
+            previous_term=self._log.term_at(previous),
+            entries=self._log.batch_from(next_index),
             commit_index=self.commit_index,
         )
 
     def _snapshot_request(self) -> SnapshotRequest:
+        snapshot = self._log.snapshot
         return SnapshotRequest(
             term=self.term,
             leader=self.name,
-            last_index=self._base_index,
-            last_term=self._base_term,
-            state=self._snapshot.SerializeToString(deterministic=True),
+            last_index=snapshot.last_index,
+            last_term=snapshot.last_term,
+            state=snapshot.SerializeToString(deterministic=True),
         )
 
     def _advance_commit(self) -> None:
         matches = sorted([self.last_index, *self._match.values()], reverse=True)
         index = matches[self._majority - 1]
-        if index > self.commit_index and self._term_at(index) == self.term:
+        if index > self.commit_index and self._log.term_at(index) == self.term:
             self._commit_to(index)
             for wake in self._wake.values():
                 wake.set()
@@ -420,8 +377,8 @@
             return AppendReply(term=self.term)
         if request.previous_index > self.last_index:
             return AppendReply(term=self.term, match_index=self.last_index)
-        if request.previous_index >= self._base_index:
-            if self._term_at(request.previous_index) != request.previous_term:
+        if request.previous_index >= self._log.base_index:
+            if self._log.term_at(request.previous_index) != request.previous_term:
                 return AppendReply(term=self.term, match_index=self.commit_index)
 
         self._write_new(list(request.entries))
@@ -432,20 +389,15 @@
 
     def _write_new(self, entries: list[LogEntry]) -> None:
         for position, entry in enumerate(entries):
-            if entry.index <= self._base_index:
+            if entry.index <= self._log.base_index:
                 continue
             if entry.index <= self.last_index:
-                if self._term_at(entry.index) == entry.term:
+                if self._log.term_at(entry.index) == entry.term:
                     continue
-                self._truncate(entry.index - 1)
-            self._append(entries[position:])
+                self._log.truncate(entry.index - 1)
+            self._log.append(entries[position:])
             return
 
-    def _truncate(self, last_index: int) -> None:
-        keep_count = last_index - self._base_index
-        self._storage.truncate(keep_count)
-        del self._entries[keep_count:]
-
     def on_snapshot(self, request: SnapshotRequest) -> AppendReply:
         """Take a leader's snapshot in place of a log that is too far behind.
 
@@ -468,9 +420,7 @@
             return AppendReply(term=self.term)
         if request.last_index > self.commit_index:
             snapshot = ControlState.FromString(request.state)
-            self._storage.save_snapshot(snapshot, [])
-            self._entries = []
-            self._set_base(snapshot)
+            self._log.compact(snapshot)
             self.documents.restore(snapshot)
             self.commit_index = snapshot.last_index
             self._tell_listeners()
@@ -478,19 +428,12 @@
         match = max(request.last_index, self.commit_index)
         return AppendReply(term=self.term, success=True, match_index=match)
 
-    def _set_base(self, snapshot: ControlState) -> None:
-        self._snapshot = snapshot
-        self._base_index = snapshot.last_index
-        self._base_term = snapshot.last_term
-
     # -- commit -------------------------------------------------------------------
 
     def _commit_to(self, index: int) -> None:
         if index <= self.commit_index:
             return
-        for entry in self._entries[
-            self.commit_index - self._base_index : index - self._base_index
-        ]:
+        for entry in self._log.between(self.commit_index, index):
             outcome = self.documents.apply(entry.index, entry.term, entry.command)
             self._answer_waiting(entry, outcome)
         self.commit_index = index
@@ -513,14 +456,9 @@
         self._waiting.clear()
 
     def _compact(self) -> None:
-        applied_count = self.commit_index - self._base_index
-        if applied_count < self._settings.snapshot_entry_count:
-            return
-        snapshot = self.documents.snapshot()
-        kept = self._entries[applied_count:]
-        self._storage.save_snapshot(snapshot, kept)
-        self._entries = kept
-        self._set_base(snapshot)
+        applied_count = self.commit_index - self._log.base_index
+        if applied_count >= self._settings.snapshot_entry_count:
+            self._log.compact(self.documents.snapshot())
 
     def _tell_listeners(self) -> None:
         for listener in self._listeners:
@@ -551,7 +489,7 @@
             raise NotLeaderError(self.leader)
 
         index = self.last_index + 1
-        self._append([LogEntry(index=index, term=self.term, command=command)])
+        self._log.append([LogEntry(index=index, term=self.term, command=command)])
         waiting = asyncio.get_running_loop().create_future()
         self._waiting[index] = (self.term, waiting)
         for wake in self._wake.values():
--- /dev/null
+++ b/src/agatethread/control/_roles.py
@@ -0,0 +1,40 @@
+"""What a member of the log is, and how it calls the others."""
+
+import enum
+from collections.abc import Awaitable, Callable
+
+from agatethread.wire.control_pb2 import (
+    AppendReply,
+    AppendRequest,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+
+
+class Role(enum.Enum):
+    """What an instance is in its term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class PeerCalls:
+    """Calls to one other control instance.
+
+    Parameters
+    ----------
+    vote, append, install_snapshot : callable
+        Send the request and return the reply; raise `UnavailableError`.
+    """
+
+    def __init__(
+        self,
+        vote: Callable[[VoteRequest], Awaitable[VoteReply]],
+        append: Callable[[AppendRequest], Awaitable[AppendReply]],
+        install_snapshot: Callable[[SnapshotRequest], Awaitable[AppendReply]],
+    ):
+        self.vote = vote
+        self.append = append
+        self.install_snapshot = install_snapshot
--- /dev/null
+++ b/src/agatethread/entry/_flows.py
@@ -0,0 +1,123 @@
+"""Openings and ends of flows, brought to the service's dispatcher."""
+
+from collections.abc import Callable
+
+from agatethread.entry._placement import FlowPlacer
+from agatethread.membership import MemberTable
+from agatethread.observability import Counters
+from agatethread.wire import (
+    Envelope,
+    FlowClosed,
+    Kind,
+    Peer,
+    Relay,
+    StreamLabel,
+    service_hash,
+)
+
+
+class FlowDesk:
+    """Hands on what concerns the placement of flows.
+
+    Parameters
+    ----------
+    members : MemberTable
+        The fleet.
+    placer : FlowPlacer
+        Places flows where this instance dispatches.
+    send_peer : callable
+        Sends a message to an instance's packed address.
+    counters : Counters
+        Counts relayed openings.
+    """
+
+    def __init__(
+        self,
+        members: MemberTable,
+        placer: FlowPlacer,
+        send_peer: Callable[[bytes, Peer], None],
+        counters: Counters,
+    ):
+        self._members = members
+        self._placer = placer
+        self._send_peer = send_peer
+        self._counters = counters
+
+    def _is_dispatcher(self, service: str) -> bool:
+        ranked = self._members.rank(service_hash(service))
+        return bool(ranked) and ranked[0].name == self._members.me.name
+
+    def on_open(self, envelope: Envelope, caller: bytes) -> None:
+        """Place a flow here, or have its dispatcher do it.
+
+        Parameters
+        ----------
+        envelope : Envelope
+            The caller's request to open.
+        caller : bytes
+            Packed address of the caller.
+        """
+        ranked = self._members.rank(service_hash(envelope.service))
+        if not ranked or ranked[0].name == self._members.me.name:
+            self._placer.on_open(envelope, caller)
+            return
+        relay = Relay(caller=caller, datagram=envelope.SerializeToString())
+        self._counters["open_relayed"] += 1
+        self._send_peer(ranked[0].address, Peer(relay=relay))
+
+    def on_reply(self, envelope: Envelope, label: StreamLabel) -> None:
+        """Note what a backend server's reply says of its flow.
+
+        Parameters
+        ----------
+        envelope : Envelope
+            The reply, on its way to the caller.
+        label : StreamLabel
+            Its label.
+        """
+        if envelope.kind == Kind.OPENED:
+            self._placer.on_opened(envelope.service, envelope.flow_id)
+        elif envelope.kind == Kind.CLOSED:
+            self._tell_dispatcher_closed(
+                envelope.service, envelope.flow_id, label.endpoint
+            )
+
+    def on_shed(self, envelope: Envelope, address: bytes) -> None:
+        """Have a flow placed elsewhere that a backend server did not take.
+
+        Parameters
+        ----------
+        envelope : Envelope
+            The backend server's reply.
+        address : bytes
+            Packed address of the backend server.
+        """
+        service, flow_id = envelope.service, envelope.flow_id
+        if self._is_dispatcher(service) or self._placer.is_placing(service, flow_id):
+            self._placer.on_shed(service, flow_id, address)
+            return
+        ranked = self._members.rank(service_hash(service))
+        if ranked:
+            relay = Relay(caller=address, datagram=envelope.SerializeToString())
+            self._send_peer(ranked[0].address, Peer(relay=relay))
+
+    def on_close(self, envelope: Envelope) -> None:
+        """Note that a caller closed a flow.
+
+        Parameters
+        ----------
+        envelope : Envelope
+            The caller's datagram; its cookie has been checked.
+        """
+        endpoint = envelope.cookie[:6]
+        self._tell_dispatcher_closed(envelope.service, envelope.flow_id, endpoint)
+
+    def _tell_dispatcher_closed(
+        self, service: str, flow_id: int, endpoint: bytes
+    ) -> None:
+        ranked = self._members.rank(service_hash(service))
+        if not ranked or ranked[0].name == self._members.me.name:
+            self._placer.on_closed(service, flow_id, endpoint)
+            return
+        closed = FlowClosed(service=service, flow_id=flow_id, endpoint=endpoint)
+        self._send_peer(ranked[0].address, Peer(flow_closed=closed))
--- a/src/agatethread/entry/_instance.py
+++ b/src/agatethread/entry/_instance.py
@@ -9,6 +9,7 @@
 from agatethread.entry._announcements import AnnouncementDesk
 from agatethread.entry._documents import DocumentBook, DocumentWatcher
 from agatethread.entry._dump import dump_entry
+from agatethread.entry._flows import FlowDesk
 from agatethread.entry._forwarding import Forwarder
 from agatethread.entry._placement import FlowPlacer
 from agatethread.entry._requests import RequestDesk
@@ -32,14 +33,12 @@
     NO_MEMBER,
     PEER_PREFIX,
     Envelope,
-    FlowClosed,
     Kind,
     MemberRef,
     MemberState,
     Peer,
     Reason,
     Relay,
-    StreamLabel,
     Token,
     decode_envelope,
     decode_peer,
@@ -143,6 +142,9 @@
             now_s,
             self.counters,
         )
+        self.flow_desk = FlowDesk(
+            self.members, self.placer, self.send_peer, self.counters
+        )
         ports = Ports(
             now_s=now_s,
             me=lambda: self.members.me.ref,
@@ -278,13 +280,13 @@
         if kind in _FLOW_KINDS:
             forwarded = self.forwarder.to_backend(data, envelope, source)
             if kind == _CLOSE and forwarded:
-                self._tell_closed(envelope)
+                self.flow_desk.on_close(envelope)
             return
         if kind == Kind.REQUEST:
             self.requests.on_request(envelope, pack_address(source))
             return
         if kind == Kind.OPEN:
-            self._on_open(envelope, pack_address(source))
+            self.flow_desk.on_open(envelope, pack_address(source))
             return
         if kind == Kind.CANCEL:
             self.requests.on_cancel(envelope)
@@ -310,12 +312,12 @@
         if kind in _STREAM_REPLIES:
             label = self.forwarder.to_caller(data, envelope, source)
             if label is not None:
-                self._note_stream_reply(envelope, label)
+                self.flow_desk.on_reply(envelope, label)
             return
         if kind in (Kind.ANSWER, Kind.SHED):
             if self.requests.on_backend_reply(data, envelope, pack_address(source)):
                 return
-            self._on_stream_shed(envelope, source)
+            self.flow_desk.on_shed(envelope, pack_address(source))
             return
         if kind == Kind.MISSING:
             self.requests.on_backend_missing(data, envelope)
@@ -337,7 +339,7 @@
         elif body == "claim":
             self.requests.claims.on_claim(sender, peer.claim)
         elif body == "claim_reply":
-            self.requests.owner.on_claim_reply(peer.claim_reply)
+            self.requests.owner.claims.on_reply(peer.claim_reply)
         elif body == "verdict_note":
             self.requests.claims.on_verdict_note(peer.verdict_note)
         elif body == "flow_closed":
@@ -360,7 +362,7 @@
             self.requests.on_missing(envelope)
         elif envelope.kind in (Kind.ANSWER, Kind.SHED):
             if not self.requests.on_relayed_reply(envelope, relay.caller):
-                self._on_stream_shed(envelope, unpack_address(relay.caller))
+                self.flow_desk.on_shed(envelope, relay.caller)
 
     def _on_hello(self, envelope: Envelope, source: Address) -> None:
         welcome = Envelope(
@@ -378,50 +380,6 @@
             answer.reason = Reason.DRAINING
         self._send_to_caller(answer.SerializeToString(), source)
 
-    # -- flows --------------------------------------------------------------------
-
-    def _on_open(self, envelope: Envelope, caller: bytes) -> None:
-        ranked = self.members.rank(service_hash(envelope.service))
-        if not ranked or ranked[0].name == self.members.me.name:
-            self.placer.on_open(envelope, caller)
-            return
-        relay = Relay(caller=caller, datagram=envelope.SerializeToString())
-        self.counters["open_relayed"] += 1
-        self.send_peer(ranked[0].address, Peer(relay=relay))
-
-    def _note_stream_reply(self, envelope: Envelope, label: StreamLabel) -> None:
-        if envelope.kind == Kind.OPENED:
-            self.placer.on_opened(envelope.service, envelope.flow_id)
-        elif envelope.kind == Kind.CLOSED:
-            self._tell_dispatcher_closed(
-                envelope.service, envelope.flow_id, label.endpoint
-            )
-
-    def _on_stream_shed(self, envelope: Envelope, source: Address) -> None:
-        service, flow_id = envelope.service, envelope.flow_id
-        address = pack_address(source)
-        if self.is_dispatcher(service) or self.placer.is_placing(service, flow_id):
-            self.placer.on_shed(service, flow_id, address)
-            return
-        ranked = self.members.rank(service_hash(service))
-        if ranked:
-            relay = Relay(caller=address, datagram=envelope.SerializeToString())
-            self.send_peer(ranked[0].address, Peer(relay=relay))
-
-    def _tell_closed(self, envelope: Envelope) -> None:
-        endpoint = envelope.cookie[:6]
-        self._tell_dispatcher_closed(envelope.service, envelope.flow_id, endpoint)
-
-    def _tell_dispatcher_closed(
-        self, service: str, flow_id: int, endpoint: bytes
-    ) -> None:
-        ranked = self.members.rank(service_hash(service))
-        if not ranked or ranked[0].name == self.members.me.name:
-            self.placer.on_closed(service, flow_id, endpoint)
-            return
-        closed = FlowClosed(service=service, flow_id=flow_id, endpoint=endpoint)
-        self.send_peer(ranked[0].address, Peer(flow_closed=closed))
-
     # -- changes ------------------------------------------------------------------
 
     def _on_endpoint_changed(self, endpoint: Endpoint) -> None:
--- a/src/agatethread/operations/__init__.py
+++ b/src/agatethread/operations/__init__.py
@@ -1,5 +1,6 @@
 """Requests: admission, at most one dispatch where that matters, typed verdicts."""
 
+from agatethread.operations._asking import ClaimAsker
 from agatethread.operations._claims import ClaimKeeper
 from agatethread.operations._owner import OperationOwner
 from agatethread.operations._queue import ServiceQueue
@@ -12,6 +13,7 @@
 )
 
 __all__ = [
+    "ClaimAsker",
     "ClaimKeeper",
     "Operation",
     "OperationOwner",
--- /dev/null
+++ b/src/agatethread/operations/_asking.py
@@ -0,0 +1,100 @@
+"""The owner's question to the standby, before each dispatch that must not repeat."""
+
+import asyncio
+
+from agatethread.observability import Counters
+from agatethread.operations._records import Operation, Ports, RefusedError
+from agatethread.routing import Endpoint
+from agatethread.wire import Claim, ClaimReply, Peer, Reason
+
+MOVED_RETRY_S = 0.001
+_CLAIM_RESEND_S = 0.05
+
+
+class ClaimAsker:
+    """Claims that this owner waits for.
+
+    Parameters
+    ----------
+    ports : Ports
+        The rest of the instance.
+    timeout_s : float
+        Time a claim may take.
+    counters : Counters
+        Counts failed claims.
+    """
+
+    def __init__(self, ports: Ports, timeout_s: float, counters: Counters):
+        self._ports = ports
+        self._timeout_s = timeout_s
+        self._counters = counters
+        self._waiting: dict[tuple[bytes, int], asyncio.Future[bool]] = {}
+
+    async def ask(self, operation: Operation, endpoint: Endpoint) -> None:
+        """Ask for an operation's next attempt.
+
+        Parameters
+        ----------
+        operation : Operation
+            The operation; its token names the standby.
+        endpoint : Endpoint
+            Where the attempt goes.
+
+        Raises
+        ------
+        RefusedError
+            If the claim was denied or not granted in time.
+        """
+        started_s = self._ports.now_s()
+        key = (operation.operation_id, operation.attempt)
+        reply = asyncio.get_running_loop().create_future()
+        self._waiting[key] = reply
+        try:
+            granted = await self._ask_standby(operation, endpoint, reply, started_s)
+        finally:
+            del self._waiting[key]
+
+        # A grant that was read late may be of a claim that the standby has since
+        # forgotten, so it counts only within the time a claim may take.
+        elapsed_s = self._ports.now_s() - started_s
+        if not granted or elapsed_s > self._timeout_s:
+            self._counters["claim_failed"] += 1
+            raise RefusedError(Reason.MOVED, MOVED_RETRY_S)
+
+    async def _ask_standby(
+        self,
+        operation: Operation,
+        endpoint: Endpoint,
+        reply: asyncio.Future[bool],
+        started_s: float,
+    ) -> bool:
+        while True:
+            now_s = self._ports.now_s()
+            if now_s - started_s >= self._timeout_s:
+                return False
+            remaining_s = max(0.0, operation.deadline_at_s - now_s)
+            claim = Claim(
+                operation_id=operation.operation_id,
+                caller=operation.caller,
+                endpoint=endpoint.address,
+                deadline_ms=round(remaining_s * 1000),
+                service=operation.service,
+                attempt=operation.attempt,
+            )
+            standby = operation.token.standby.address
+            self._ports.send_peer(standby, Peer(claim=claim))
+            done, _ = await asyncio.wait([reply], timeout=_CLAIM_RESEND_S)
+            if done:
+                return reply.result()
+
+    def on_reply(self, reply: ClaimReply) -> None:
+        """Take the standby's answer to a claim.
+
+        Parameters
+        ----------
+        reply : ClaimReply
+            The answer.
+        """
+        waiting = self._waiting.get((reply.operation_id, reply.attempt))
+        if waiting is not None and not waiting.done():
+            waiting.set_result(reply.granted)
--- a/src/agatethread/operations/_owner.py
+++ b/src/agatethread/operations/_owner.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import enum
-from collections import deque
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from agatethread.observability import Counters, make_logger
+from agatethread.operations._asking import MOVED_RETRY_S, ClaimAsker
+from agatethread.operations._large import LargeVerdicts
 from agatethread.operations._queue import ServiceQueue
 from agatethread.operations._records import (
     Operation,
@@ -22,8 +23,6 @@
 from agatethread.wire import (
     MAX_DATAGRAM_BYTES,
     NO_MEMBER,
-    Claim,
-    ClaimReply,
     Envelope,
     Kind,
     OperationLabel,
@@ -36,14 +35,10 @@
     seal_operation_label,
 )
 
-_MOVED_RETRY_S = 0.001
-_CLAIM_RESEND_S = 0.05
 _TOO_LARGE_RETRY_S = 1.0
 #: An idempotent attempt that takes this many usual service times is tried elsewhere.
 _PATIENCE_FACTOR = 8
 _LEAST_PATIENCE_S = 0.5
-#: How long a verdict of several datagrams is kept for copies.
-_LARGE_KEPT_S = 10.0
 
 log = make_logger("operations")
 
@@ -103,14 +98,11 @@
         self._is_dispatcher = is_dispatcher
         self._start_task = start_task
         self._counters = counters
-        self._claim_timeout_s = claim_timeout_s
+        self.claims = ClaimAsker(ports, claim_timeout_s, counters)
         self._table: RetainedTable[Operation] = RetainedTable(limit_count, retention_s)
-        self._claims: dict[tuple[bytes, int], asyncio.Future[bool]] = {}
         self._running: set[Operation] = set()
         self._outbox = Outbox()
-        self._large: deque[tuple[float, Operation]] = deque()
-        self._large_bytes = 0
-        self._large_limit_bytes = large_limit_bytes
+        self._large = LargeVerdicts(ports, large_limit_bytes)
 
     def __len__(self) -> int:
         return len(self._table)
@@ -247,7 +239,7 @@
         self._running.discard(operation)
         self._table.finish(operation.operation_id, self._ports.now_s())
         self._ports.send_caller(operation.caller, verdict)
-        self._keep_large(operation)
+        self._large.keep(operation)
         if not operation.idempotent and operation.token.standby != NO_MEMBER:
             self._note_verdict(operation)
 
@@ -262,25 +254,6 @@
         standby = operation.token.standby.address
         self._ports.send_peer(standby, Peer(verdict_note=note))
 
-    def _keep_large(self, operation: Operation) -> None:
-        size_bytes = len(operation.verdict)
-        if size_bytes <= MAX_DATAGRAM_BYTES:
-            return
-        self._large.append((self._ports.now_s(), operation))
-        self._large_bytes += size_bytes
-        self._drop_large()
-
-    def _drop_large(self) -> None:
-        oldest_s = self._ports.now_s() - _LARGE_KEPT_S
-        while self._large:
-            kept_s, operation = self._large[0]
-            if kept_s > oldest_s and self._large_bytes <= self._large_limit_bytes:
-                return
-            self._large.popleft()
-            self._large_bytes -= len(operation.verdict)
-            fresh = self._ports.fresh_token(operation.service)
-            operation.verdict = unknown(operation.operation_id, Reason.TOO_LARGE, fresh)
-
     def resend_verdict(self, operation_id: bytes, indices: Iterable[int]) -> None:
         """Send fragments of a large verdict again.
 
@@ -317,7 +290,7 @@
 
     async def _serve(self, operation: Operation) -> bytes:
         if not self._is_dispatcher(operation.service):
-            raise RefusedError(Reason.MOVED, _MOVED_RETRY_S)
+            raise RefusedError(Reason.MOVED, MOVED_RETRY_S)
         queue = self._queue_of(operation.service)
         if queue is None:
             raise RefusedError(Reason.NO_DOCUMENT, 1.0)
@@ -344,7 +317,7 @@
             operation.attempt += 1
             self._check_startable(operation)
             if not operation.idempotent and operation.token.standby != NO_MEMBER:
-                await self._claim(operation, endpoint)
+                await self.claims.ask(operation, endpoint)
                 self._check_startable(operation)
             outcome = await self._attempt(operation, endpoint)
             if outcome.end is _End.ANSWERED:
@@ -357,64 +330,9 @@
     def _check_startable(self, operation: Operation) -> None:
         # Read just before each step: the process may have been stopped for long.
         if operation.cancelled:
-            raise RefusedError(Reason.CANCELLED, _MOVED_RETRY_S)
+            raise RefusedError(Reason.CANCELLED, MOVED_RETRY_S)
         if self._ports.now_s() >= operation.deadline_at_s:
-            raise RefusedError(Reason.DEADLINE, _MOVED_RETRY_S)
-
-    async def _claim(self, operation: Operation, endpoint: Endpoint) -> None:
-        started_s = self._ports.now_s()
-        key = (operation.operation_id, operation.attempt)
-        reply = asyncio.get_running_loop().create_future()
-        self._claims[key] = reply
-        try:
-            granted = await self._ask_standby(operation, endpoint, reply, started_s)
-        finally:
-            del self._claims[key]
-
-        # A grant that was read late may be of a claim that the standby has since
-        # forgotten, so it counts only within the time a claim may take.
-        elapsed_s = self._ports.now_s() - started_s
-        if not granted or elapsed_s > self._claim_timeout_s:
-            self._counters["claim_failed"] += 1
-            raise RefusedError(Reason.MOVED, _MOVED_RETRY_S)
-
-    async def _ask_standby(
-        self,
-        operation: Operation,
-        endpoint: Endpoint,
-        reply: asyncio.Future[bool],
-        started_s: float,
-    ) -> bool:
-        while True:
-            now_s = self._ports.now_s()
-            if now_s - started_s >= self._claim_timeout_s:
-                return False
-            remaining_s = max(0.0, operation.deadline_at_s - now_s)
-            claim = Claim(
-                operation_id=operation.operation_id,
-                caller=operation.caller,
-                endpoint=endpoint.address,
-                deadline_ms=round(remaining_s * 1000),
-                service=operation.service,
-                attempt=operation.attempt,
-            )
-            standby = operation.token.standby.address
-            self._ports.send_peer(standby, Peer(claim=claim))
-            done, _ = await asyncio.wait([reply], timeout=_CLAIM_RESEND_S)
-            if done:
-                return reply.result()
-
-    def on_claim_reply(self, reply: ClaimReply) -> None:
-        """Take the standby's answer to a claim.
-
-        Parameters
-        ----------
-        reply : ClaimReply
-            The answer.
-        """
-        waiting = self._claims.get((reply.operation_id, reply.attempt))
-        if waiting is not None and not waiting.done():
-            waiting.set_result(reply.granted)
+            raise RefusedError(Reason.DEADLINE, MOVED_RETRY_S)
 
     async def _attempt(self, operation: Operation, endpoint: Endpoint) -> _Outcome:
         operation.endpoint = endpoint
@@ -575,5 +493,5 @@
 
     def expire(self) -> None:
         """Drop verdicts whose retention is over."""
-        self._drop_large()
+        self._large.drop()
         self._table.expire(self._ports.now_s())
