--- a/src/agatethread/cli/_ctl.py
+++ b/src/agatethread/cli/_ctl.py
@@ -7,6 +7,7 @@
 import uuid
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 from agatethread import __version__
 from agatethread.cli._calls import (
@@ -29,7 +30,7 @@
     load_settings,
     parse_document,
 )
-from agatethread.wire.control_pb2 import Command, PutDocument, SetDrain
+from agatethread.wire.control_pb2 import Command, PutDocument, SetDrain, StatusReply
 
 EXIT_DONE, EXIT_REFUSED, EXIT_USAGE = 0, 1, 2
 
@@ -92,33 +93,13 @@
     if options.wait_s:
         return await _wait(options, target, newest)
 
-    control = [
-        {
-            "instance": status.instance,
-            "role": status.role,
-            "term": status.term,
-            "commit_index": status.commit_index,
-        }
-        for status in statuses
-    ]
-    entry = {}
-    for status in statuses:
-        for watcher in status.watchers:
-            row = {
-                "instance": watcher.instance,
-                "failure_domain": watcher.failure_domain,
-                "applied_index": watcher.applied_index,
-                "connected": watcher.connected,
-                "admin": watcher.admin,
-            }
-            if watcher.connected or watcher.instance not in entry:
-                entry[watcher.instance] = row
+    control, entry = _control_rows(statuses), _entry_rows(statuses)
     services = sorted({name for status in statuses for name in status.services})
     drained = sorted({name for status in statuses for name in status.drained})
     data = {
         "last_change_index": newest,
         "control": control,
-        "entry": list(entry.values()),
+        "entry": entry,
         "services": services,
         "drained": drained,
     }
@@ -127,13 +108,41 @@
     lines += [
         f"entry {row['instance']}: at {row['applied_index']}"
         + ("" if row["connected"] else ", not connected")
-        for row in entry.values()
+        for row in entry
     ]
     lines += [f"services: {', '.join(services)}", f"drained: {', '.join(drained)}"]
     _print(options, data, "\n".join(lines))
     return EXIT_DONE
 
 
+def _control_rows(statuses: list[StatusReply]) -> list[dict[str, Any]]:
+    return [
+        {
+            "instance": status.instance,
+            "role": status.role,
+            "term": status.term,
+            "commit_index": status.commit_index,
+        }
+        for status in statuses
+    ]
+
+
+def _entry_rows(statuses: list[StatusReply]) -> list[dict[str, Any]]:
+    rows: dict[str, dict[str, Any]] = {}
+    for status in statuses:
+        for watcher in status.watchers:
+            row = {
+                "instance": watcher.instance,
+                "failure_domain": watcher.failure_domain,
+                "applied_index": watcher.applied_index,
+                "connected": watcher.connected,
+                "admin": watcher.admin,
+            }
+            if watcher.connected or watcher.instance not in rows:
+                rows[watcher.instance] = row
+    return list(rows.values())
+
+
 async def _drain(options: argparse.Namespace, target: ControlTarget) -> int:
     change = SetDrain(name=options.name, draining=not options.undo)
     command = Command(
@@ -196,8 +205,11 @@
     parser.add_argument("--plain-text", action="store_true", help="gRPC without TLS")
     for name in ("certificate-file", "key-file", "authority-file"):
         parser.add_argument(f"--{name}", default="", help="TLS key file")
-    commands = parser.add_subparsers(dest="command", required=True)
+    _add_commands(parser.add_subparsers(dest="command", required=True))
+    return parser
 
+
+def _add_commands(commands) -> None:
     apply = _add_command(
         commands, "apply", _apply, "apply a service document", "apply tab.json5"
     )
@@ -231,7 +243,6 @@
         command.add_argument(
             "--wait-s", type=float, default=0.0, help="wait until in force everywhere"
         )
-    return parser
 
 
 def _target(options: argparse.Namespace) -> ControlTarget:
--- a/src/agatethread/entry/_announcements.py
+++ b/src/agatethread/entry/_announcements.py
@@ -243,8 +243,7 @@
             self._send_to(random.choice(peers), random.choice(held))
 
     def _is_dispatcher(self, service: str) -> bool:
-        holders = self._holders(service)
-        return bool(holders) and holders[0].name == self._members.me.name
+        return self._members.is_dispatcher(service_hash(service))
 
     def _send_to(self, member: Member, endpoint: Endpoint) -> None:
         announcement = Announcement()
--- a/src/agatethread/entry/_flows.py
+++ b/src/agatethread/entry/_flows.py
@@ -43,10 +43,6 @@
         self._send_peer = send_peer
         self._counters = counters
 
-    def _is_dispatcher(self, service: str) -> bool:
-        ranked = self._members.rank(service_hash(service))
-        return bool(ranked) and ranked[0].name == self._members.me.name
-
     def on_open(self, envelope: Envelope, caller: bytes) -> None:
         """Place a flow here, or have its dispatcher do it.
 
@@ -93,7 +89,9 @@
             Packed address of the backend server.
         """
         service, flow_id = envelope.service, envelope.flow_id
-        if self._is_dispatcher(service) or self._placer.is_placing(service, flow_id):
+        if self._members.is_dispatcher(
+            service_hash(service)
+        ) or self._placer.is_placing(service, flow_id):
             self._placer.on_shed(service, flow_id, address)
             return
         ranked = self._members.rank(service_hash(service))
--- a/src/agatethread/entry/_instance.py
+++ b/src/agatethread/entry/_instance.py
@@ -25,7 +25,7 @@
 from agatethread.observability import Counters, make_logger
 from agatethread.operations import Ports
 from agatethread.routing import Endpoint, EndpointTable, FlowTable
-from agatethread.settings import Settings, parse_address
+from agatethread.settings import EntrySettings, Settings, parse_address
 from agatethread.timing import TimerService
 from agatethread.transfer import Outbox, split_datagram
 from agatethread.wire import (
@@ -90,9 +90,11 @@
         self._send_to_caller = send_or_count(self._caller_socket, counters)
         self._send_to_inner = send_or_count(self._inner_socket, counters)
         self._build_state(entry)
-        self._build_desks(entry)
+        self._build_fleet_parts(entry)
+        self._build_flow_parts()
+        self._build_request_parts(entry)
 
-    def _build_state(self, entry) -> None:
+    def _build_state(self, entry: EntrySettings) -> None:
         me = Member(
             name=self.settings.name,
             failure_domain=self.settings.failure_domain,
@@ -109,8 +111,7 @@
         self._outbox = Outbox()
         self._greeted: set[MemberRef] = set()
 
-    def _build_desks(self, entry) -> None:
-        now_s = self.timers.now_s
+    def _build_fleet_parts(self, entry: EntrySettings) -> None:
         self.prober = self.add_dependency(
             Prober(
                 self.members,
@@ -125,6 +126,20 @@
         self.watcher = self.add_dependency(
             DocumentWatcher(self.settings, self.book, self._on_update, self.counters)
         )
+        self.announcements = AnnouncementDesk(
+            entry,
+            self.members,
+            self.endpoints,
+            self.send_peer,
+            self._send_backend,
+            self.timers.now_s,
+            self._on_endpoint_changed,
+            self._on_endpoint_gone,
+            self.counters,
+        )
+        self.members.subscribe(self._on_member_changed)
+
+    def _build_flow_parts(self) -> None:
         self.forwarder = Forwarder(
             self.sealer,
             self.endpoints,
@@ -139,14 +154,16 @@
             self.book.documents.get,
             self._send_backend,
             self._send_caller,
-            now_s,
+            self.timers.now_s,
             self.counters,
         )
         self.flow_desk = FlowDesk(
             self.members, self.placer, self.send_peer, self.counters
         )
+
+    def _build_request_parts(self, entry: EntrySettings) -> None:
         ports = Ports(
-            now_s=now_s,
+            now_s=self.timers.now_s,
             me=lambda: self.members.me.ref,
             is_alive=self.members.is_alive,
             send_peer=self.send_peer,
@@ -164,18 +181,6 @@
             self.add_future,
             self.counters,
         )
-        self.announcements = AnnouncementDesk(
-            entry,
-            self.members,
-            self.endpoints,
-            self.send_peer,
-            self._send_backend,
-            now_s,
-            self._on_endpoint_changed,
-            self._on_endpoint_gone,
-            self.counters,
-        )
-        self.members.subscribe(self._on_member_changed)
 
     # -- start and stop -----------------------------------------------------------
 
@@ -453,8 +458,7 @@
         bool
             As this instance sees the fleet.
         """
-        ranked = self.members.rank(service_hash(service))
-        return bool(ranked) and ranked[0].name == self.members.me.name
+        return self.members.is_dispatcher(service_hash(service))
 
     def _sweep(self) -> None:
         self.announcements.sweep()
--- a/src/agatethread/entry/_requests.py
+++ b/src/agatethread/entry/_requests.py
@@ -125,8 +125,7 @@
         return queue
 
     def _is_dispatcher(self, service: str) -> bool:
-        ranked = self._members.rank(service_hash(service))
-        return bool(ranked) and ranked[0].name == self._members.me.name
+        return self._members.is_dispatcher(service_hash(service))
 
     def on_request(self, envelope: Envelope, caller: bytes) -> None:
         """Take a request that a caller sent here.
--- a/src/agatethread/membership/_members.py
+++ b/src/agatethread/membership/_members.py
@@ -268,6 +268,22 @@
         names = self._warm.find(service, count) or self._joining.find(service, count)
         return tuple(self.members[name] for name in names)
 
+    def is_dispatcher(self, service: int) -> bool:
+        """Tell whether this instance dispatches for a service now.
+
+        Parameters
+        ----------
+        service : int
+            Hash of the service's name.
+
+        Returns
+        -------
+        bool
+            As this instance sees the fleet.
+        """
+        ranked = self.rank(service, 1)
+        return bool(ranked) and ranked[0].name == self.me.name
+
     def _update_rings(self, member: Member) -> None:
         may_dispatch = member.state in _DISPATCHING_STATES
         rings = (
