--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -1,3 +1,4 @@
+import json
 import signal
 import tempfile
 import time
@@ -136,6 +137,40 @@
         self.finish()
 
 
+class TestOperators(FleetCase):
+    def ctl(self, *arguments, code=0):
+        got, output, errors = self.fleet.ctl("--json", *arguments)
+        self.assertEqual(got, code, errors)
+        return json.loads(output) if output else None
+
+    def test_commands_of_the_operators_pages(self):
+        """Each command does on a fleet under load what its page says."""
+        live = lambda: self.fleet.command("fabric")["live"]  # noqa: E731
+        self.ctl("drain", "entry-2")
+        self.fleet.wait_for(lambda: live() == 3, "the drain", 5.0)
+        dump = self.ctl("dump", "entry-2")
+        self.assertEqual(dump["entry"]["dispatches_for"], [])
+        self.ctl("drain", "entry-2", "--undo")
+        self.fleet.wait_for(lambda: live() == 4, "its return", 5.0)
+
+        status = self.ctl("status")
+        self.assertEqual(len(status["entry"]), 4)
+        self.assertEqual(len(status["control"]), 3)
+        self.assertEqual(status["services"], ["receipts", "tab"])
+        self.assertEqual(self.ctl("status", "--wait-s", "5")["laggards"], [])
+
+        path = self.fleet.document("tab", 2)
+        first = self.ctl("apply", path, "--change-id", "ours")
+        self.ctl("apply", self.fleet.document("tab", 3))
+        again = self.ctl("apply", path, "--change-id", "ours")
+        self.assertEqual(again["index"], first["index"])
+        self.ctl("apply", path, "--change-id", "theirs", code=1)
+        got = self.ctl("get", "tab")
+        self.assertEqual(got["text"], Path(self.fleet.document("tab", 3)).read_text())
+        self.ctl("check", "--document", path)
+        self.finish()
+
+
 class TestControl(FleetCase):
     def test_leader_dies_and_a_frozen_one_returns(self):
         """Documents go on being accepted, and none reverts when one returns."""
