--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -145,6 +145,8 @@
     async def _watch_leader(self) -> None:
         while not self.should_stop:
             await self.sleep(_ELECTION_POLL_S)
+            if self.should_stop:
+                return
             if self.role is Role.LEADER:
                 self._check_quorum()
                 continue
@@ -164,7 +166,7 @@
         self._timeout_s = self._draw_timeout_s()
         if not await self._collect_votes(self.term + 1, pre_vote=True):
             return
-        if self._heard_leader_s != started_s:
+        if self._heard_leader_s != started_s or self.should_stop:
             return
 
         self.role = Role.CANDIDATE
@@ -172,7 +174,8 @@
         self._save_hard_state(self.term + 1, self.name)
         term = self.term
         won = await self._collect_votes(term, pre_vote=False)
-        if won and self.role is Role.CANDIDATE and self.term == term:
+        is_current = self.role is Role.CANDIDATE and self.term == term
+        if won and is_current and not self.should_stop:
             self._become_leader()
 
     async def _collect_votes(self, term: int, pre_vote: bool) -> bool:
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -70,6 +70,7 @@
         self.assertEqual(self.fleet.ctl("drain", "tab-1")[0], 0)
         for number, name in enumerate(self.fleet.names("entry")):
             self.fleet.stop(name)
+            self.assertEqual(self.fleet.processes[name].returncode, 0)
             self.fleet.start(name)
             if number == 1:
                 self.fleet.ctl("apply", self.fleet.document("tab", 2, ramp_s=1.0))
@@ -179,6 +180,9 @@
         self.fleet.signal("control-1", signal.SIGCONT)
         self.fleet.kill("control-2")
         self.fleet.start("control-2")
+        self.fleet.stop("control-3")
+        self.assertEqual(self.fleet.processes["control-3"].returncode, 0)
+        self.fleet.start("control-3")
         self.assertLess(self.fleet.apply("tab", 3, note="after both"), 4)
         time.sleep(2)
         for name in self.fleet.names("entry"):
