--- a/benchmarks/control_world.py
+++ b/benchmarks/control_world.py
@@ -52,6 +52,7 @@
         self, folder: Path, seed: int, count: int = 3, snapshot_entry_count: int = 20
     ):
         self.network = Network(seed)
+        self._seed = seed
         self.names = [f"control-{number}" for number in range(count)]
         self.nodes: dict[str, RaftNode] = {}
         self.history = History()
@@ -68,12 +69,18 @@
         }
         storage = LogStorage(str(self._folder / name))
         loop = asyncio.get_running_loop()
-        node = RaftNode(name, self._settings, storage, peers, loop.time)
+        node = RaftNode(
+            name, self._settings, storage, peers, loop.time, self._next_seed()
+        )
         self.nodes[name] = node
         self.network.dead.discard(name)
         node.subscribe(lambda: self._on_applied(node))
         await node.start()
 
+    def _next_seed(self) -> int:
+        self._seed += 1
+        return self._seed
+
     async def kill(self, name: str) -> None:
         """End a member; what it had synced stays."""
         node = self.nodes.pop(name, None)
--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -48,6 +48,8 @@
         The other members.
     now_s : callable
         Monotonic clock.
+    seed : int, optional
+        Of the election timeouts.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         storage: LogStorage,
         peers: dict[str, PeerCalls],
         now_s: Callable[[], float],
+        seed: int | None = None,
     ):
         super().__init__()
         self.name = name
@@ -64,7 +67,7 @@
         self._storage = storage
         self._peers = peers
         self._now_s = now_s
-        self._random = random.Random()
+        self._random = random.Random(seed)
         self.documents = DocumentState()
         self.role = Role.FOLLOWER
         self.leader = ""
