--- a/tests/entry/test_instance.py
+++ b/tests/entry/test_instance.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 
 from agatethread.entry import EntryInstance
-from agatethread.sockets import drain_into
 from agatethread.observability import Counters
 from agatethread.settings import EntrySettings, Settings, format_address
+from agatethread.sockets import drain_into
 from agatethread.wire import (
     Cookie,
     Envelope,
