--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -38,6 +38,8 @@
 )
 
 _ELECTION_POLL_S = 0.02
+#: Share of the election timeout that is waited for after a start.
+_FIRST_TIMEOUT_RATIO = 0.25
 #: Refused writes in a row after which a leader lets another one lead.
 _WRITE_FAILURES_BORNE = 2
 #: Pause before an instance that could not write stands for election again.
@@ -92,12 +94,18 @@
         self.role = Role.FOLLOWER
         self.leader = ""
         self._recover()
+        #: When a leader was last heard: what others' candidacies are judged by.
         self._heard_leader_s = now_s()
-        self._timeout_s = self._draw_timeout_s()
+        #: What the election timeout counts from; also an own candidacy restarts it.
+        self._waiting_since_s = now_s()
+        # After a restart of all nobody leads, and the sooner one stands the better; if
+        # somebody does lead, the pre-vote is refused and nothing is disturbed.
+        self._timeout_s = self._draw_timeout_s() * _FIRST_TIMEOUT_RATIO
         self._next: dict[str, int] = {}
         self._match: dict[str, int] = {}
         self._answered_s: dict[str, float] = {}
         self._wake: dict[str, asyncio.Event] = {}
+        self._listeners: list[Callable[[], None]] = []
         #: Numbers the rounds in which members confirm that this one leads.
         self._round = 0
         self._confirmed: dict[str, int] = {}
@@ -105,7 +113,7 @@
         self._write_failures = 0
         self._may_stand_s = 0.0
         self._waiting: dict[int, tuple[int, asyncio.Future[Outcome]]] = {}
-        self._listeners: list[Callable[[], None]] = []
+        self._commit_to(min(self._recovered_commit_index, self.last_index))
 
     def _recover(self) -> None:
         recovered = self._storage.recover()
@@ -118,6 +126,7 @@
         # leader has filled it, it votes only for a log that never held anything, and
         # such a log needs every member's vote: one that holds entries says no.
         self._may_vote = recovered.hard_state.may_vote
+        self._recovered_commit_index = recovered.commit_index
         self._member_name = recovered.hard_state.member_name
         self._static_members = Members(
             members=[
@@ -217,7 +226,7 @@
             if self.role is Role.LEADER:
                 self._check_quorum()
                 continue
-            if self._now_s() - self._heard_leader_s < self._timeout_s:
+            if self._now_s() - self._waiting_since_s < self._timeout_s:
                 continue
             if not self.is_voter or self._now_s() < self._may_stand_s:
                 continue
@@ -235,12 +244,12 @@
             self._become_follower("")
 
     async def _stand(self) -> None:
-        started_s = self._now_s()
-        self._heard_leader_s = started_s
+        heard_s, term = self._heard_leader_s, self.term
+        self._waiting_since_s = self._now_s()
         self._timeout_s = self._draw_timeout_s()
-        if not await self._collect_votes(self.term + 1, pre_vote=True):
+        if not await self._collect_votes(term + 1, pre_vote=True):
             return
-        if self._heard_leader_s != started_s or self.should_stop:
+        if self._heard_leader_s != heard_s or self.term != term or self.should_stop:
             return
 
         self.role = Role.CANDIDATE
@@ -352,7 +361,7 @@
         )
         if granted:
             self._save_hard_state(self.term, request.candidate)
-            self._heard_leader_s = self._now_s()
+            self._waiting_since_s = self._now_s()
         return VoteReply(term=self.term, granted=granted)
 
     def _would_vote(self, request: VoteRequest) -> bool:
@@ -459,6 +468,7 @@
             self._adopt_term(term)
         self._become_follower(leader)
         self._heard_leader_s = self._now_s()
+        self._waiting_since_s = self._heard_leader_s
         return True
 
     def on_append(self, request: AppendRequest) -> AppendReply:
@@ -549,6 +559,10 @@
             self._answer_waiting(entry, outcome)
         self.commit_index = index
         self._compact()
+        try:
+            self._storage.save_commit(index)
+        except DiskFullError as error:
+            log.warning("commit index not saved: disk", error=str(error))
         self._tell_listeners()
         if self.role is Role.LEADER and not self.is_voter:
             log.info("leader is no voter any more", term=self.term)
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -34,6 +34,8 @@
     RoutesOffer,
     RunTable,
     Subscription,
+    load_runs,
+    save_runs,
 )
 from agatethread.routing import RoutingDocument, check_document, encode_table
 from agatethread.settings import (
@@ -55,8 +57,10 @@
 
 _POLL_INTERVAL_S = 0.3
 _FLUSH_INTERVAL_S = 0.1
+_URGENT_INTERVAL_S = 0.05
 _SWEEP_INTERVAL_S = 0.2
 _MEMBERS_INTERVAL_S = 0.2
+_REMEMBER_INTERVAL_S = 0.5
 _JOIN_INTERVAL_S = 0.3
 #: Without a leader for so long it asks to be taken in: longer than an election.
 _JOIN_AFTER_S = 1.5
@@ -143,6 +147,8 @@
         self._join_calls: dict[str, PeerCalls] = {}
         self._changing_members = False
         self._offered_version = 0
+        self._saving_runs = False
+        self._saved_index = 0
         self._started_s = self.timers.now_s()
         self._registry_port = parse_address(settings.registry)[1]
         self._target_port = parse_address(settings.target)[1]
@@ -182,10 +188,13 @@
 
     async def on_start(self) -> None:
         """Listen, and open the log as soon as the disk allows."""
+        self.runs.remember(load_runs(self.settings.control.data_dir))
         self._transport.start(self._on_message)
         self.timers.subscribe(_POLL_INTERVAL_S, self.subscription.poll)
+        self.timers.subscribe(_URGENT_INTERVAL_S, self.subscription.knock_urgently)
         self.timers.subscribe(_FLUSH_INTERVAL_S, self.hub.flush)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self.runs.sweep)
+        self.timers.subscribe(_REMEMBER_INTERVAL_S, self._remember_runs)
         self.timers.subscribe(_MEMBERS_INTERVAL_S, self._manage_members)
         self.timers.subscribe(_JOIN_INTERVAL_S, self._ask_to_join)
         self.subscription.poll()
@@ -369,6 +378,23 @@
             self.counters["spread_incomplete"] += 1
             log.warning("not known everywhere in time", what=what, run=run_id)
 
+    def _remember_runs(self) -> None:
+        if not self._saving_runs and self.runs.changed_index > self._saved_index:
+            self._saving_runs = True
+            self.add_future(self._save_runs())
+
+    async def _save_runs(self) -> None:
+        index = self.runs.changed_index
+        folder, runs = self.settings.control.data_dir, self.runs.snapshot()
+        try:
+            # In a thread: a slow disk must not hold up reports.
+            await asyncio.to_thread(save_runs, folder, runs)
+            self._saved_index = index
+        except OSError as error:
+            log.warning("backend servers not saved: disk", error=str(error))
+        finally:
+            self._saving_runs = False
+
     def _is_settled(self) -> bool:
         up_s = self.timers.now_s() - self._started_s
         if up_s > _SETTLED_INTERVALS * self.settings.report_interval_s:
--- a/src/agatethread/control/_storage.py
+++ b/src/agatethread/control/_storage.py
@@ -19,7 +19,8 @@
 _FIELDS = struct.Struct("!II")
 _CHECKSUM = struct.Struct("!I")
 HEADER_BYTES = _FIELDS.size + _CHECKSUM.size
-_LOG, _SNAPSHOT, _HARD_STATE = "log", "snapshot", "hard_state"
+_LOG, _SNAPSHOT, _HARD_STATE, _COMMIT = "log", "snapshot", "hard_state", "commit"
+_INDEX = struct.Struct("!Q")
 
 
 @dataclass(frozen=True)
@@ -29,6 +30,8 @@
     hard_state: HardState
     snapshot: ControlState
     entries: list[LogEntry]
+    #: An entry that is known to have been committed; there may be later ones.
+    commit_index: int = 0
 
 
 def _frame(payload: bytes) -> bytes:
@@ -83,6 +86,7 @@
         self._folder = Path(data_dir)
         self._folder.mkdir(parents=True, exist_ok=True)
         self._log_file = None
+        self._commit_file = None
         self._offsets: list[int] = []
         self._size_bytes = 0
 
@@ -111,7 +115,38 @@
         # the snapshot holds already.
         entries = [entry for entry in entries if entry.index > snapshot.last_index]
         self.rewrite(entries)
-        return Recovered(hard_state, snapshot, entries)
+        return Recovered(hard_state, snapshot, entries, self._read_commit())
+
+    def _read_commit(self) -> int:
+        path = self._folder / _COMMIT
+        if not path.exists():
+            return 0
+        payload = _unframe(path.read_bytes(), 0)
+        # It is written without a sync, so it may be torn; nothing depends on it.
+        return _INDEX.unpack(payload)[0] if payload else 0
+
+    def save_commit(self, index: int) -> None:
+        """Write how far the log is committed, without a sync.
+
+        It lets a restarted instance serve what was agreed before there is a leader.
+
+        Parameters
+        ----------
+        index : int
+            The last committed entry.
+
+        Raises
+        ------
+        DiskFullError
+            If it could not be written.
+        """
+        try:
+            if self._commit_file is None:
+                self._commit_file = open(self._folder / _COMMIT, "wb", buffering=0)
+            frame = _frame(_INDEX.pack(index))
+            os.pwrite(self._commit_file.fileno(), frame, 0)
+        except OSError as error:
+            raise DiskFullError(str(error)) from None
 
     def read_hard_state(self) -> HardState:
         """Read the term, the vote and the name.
@@ -278,7 +313,10 @@
             os.close(folder)
 
     def close(self) -> None:
-        """Close the log file."""
+        """Close the files."""
         if self._log_file is not None:
             self._log_file.close()
             self._log_file = None
+        if self._commit_file is not None:
+            self._commit_file.close()
+            self._commit_file = None
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -28,6 +28,7 @@
 #: Two polls fit into the time after which a silent control instance is given up.
 _POLL_INTERVAL_S = 0.4
 _JUDGE_INTERVAL_S = 0.2
+_URGENT_INTERVAL_S = 0.05
 _SWEEP_INTERVAL_S = 1.0
 _CHECK_INTERVAL_S = 0.1
 
@@ -121,6 +122,7 @@
             drain_into(self._socket, self.forwarder.on_datagram, self.counters),
         )
         self.timers.subscribe(_POLL_INTERVAL_S, self.subscription.poll)
+        self.timers.subscribe(_URGENT_INTERVAL_S, self.subscription.knock_urgently)
         self.timers.subscribe(_JUDGE_INTERVAL_S, self._judge)
         self.timers.subscribe(_CHECK_INTERVAL_S, self._check_ready)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self._sweep)
--- a/src/agatethread/registry/__init__.py
+++ b/src/agatethread/registry/__init__.py
@@ -1,6 +1,7 @@
 """Backend servers as they report themselves, told to every entry instance."""
 
 from agatethread.registry._hub import RegistryHub, RoutesOffer
+from agatethread.registry._memory import load_runs, save_runs
 from agatethread.registry._report import Report
 from agatethread.registry._runs import RunTable
 from agatethread.registry._subscription import HubLink, Subscription
@@ -15,4 +16,6 @@
     "RunTable",
     "Subscription",
     "decode_message",
+    "load_runs",
+    "save_runs",
 ]
--- /dev/null
+++ b/src/agatethread/registry/_memory.py
@@ -0,0 +1,70 @@
+"""What a control instance knows of backend servers, kept over its own restart.
+
+Only a hint: it lets packets flow again before every backend server has reported anew.
+It is written without a sync, so after a loss of power it may be old or missing.
+"""
+
+import struct
+import zlib
+from pathlib import Path
+
+from google.protobuf.message import DecodeError
+
+from agatethread.observability import make_logger
+from agatethread.wire.registry_pb2 import BackendRun, Delta
+
+_CHECKSUM = struct.Struct("!I")
+_FILE = "registry"
+
+log = make_logger("registry")
+
+
+def save_runs(folder: str, runs: list[BackendRun]) -> None:
+    """Write the runs.
+
+    Parameters
+    ----------
+    folder : str
+        The data folder.
+    runs : list of BackendRun
+        What is known.
+
+    Raises
+    ------
+    OSError
+        If they could not be written; the older file stays.
+    """
+    payload = Delta(runs=runs).SerializeToString()
+    path = Path(folder) / _FILE
+    temporary = path.with_suffix(".new")
+    temporary.write_bytes(_CHECKSUM.pack(zlib.crc32(payload)) + payload)
+    temporary.replace(path)
+
+
+def load_runs(folder: str) -> list[BackendRun]:
+    """Read the runs.
+
+    Parameters
+    ----------
+    folder : str
+        The data folder.
+
+    Returns
+    -------
+    list of BackendRun
+        Empty if there is no file, or it is not whole.
+    """
+    path = Path(folder) / _FILE
+    try:
+        data = path.read_bytes()
+        (checksum,) = _CHECKSUM.unpack_from(data)
+        payload = data[_CHECKSUM.size :]
+        if zlib.crc32(payload) != checksum:
+            log.warning("file of backend servers is not whole", path=str(path))
+            return []
+        return list(Delta.FromString(payload).runs)
+    except FileNotFoundError:
+        return []
+    except (OSError, struct.error, DecodeError) as error:
+        log.warning("file of backend servers not read", error=repr(error))
+        return []
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -56,6 +56,8 @@
         self._holders: dict[bytes, _Entry] = {}
         self._swept_s = now_s()
         self.index = 0
+        #: Index of the last change that entry instances must know.
+        self.changed_index = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -233,6 +235,39 @@
     def _mark(self, entry: _Entry) -> None:
         self.index += 1
         entry.changed_index = self.index
+        self.changed_index = self.index
+
+    # -- restarts -----------------------------------------------------------------
+
+    def remember(self, runs: list[BackendRun]) -> None:
+        """Take what this instance knew before it was restarted.
+
+        Parameters
+        ----------
+        runs : list of BackendRun
+            As `snapshot` returned them.
+        """
+        for run in runs:
+            entry = self._entries[run.id] = _Entry(run)
+            entry.heard_s = self._now_s()
+            if not run.ended:
+                self._holders[run.address] = entry
+            self._mark(entry)
+
+    def snapshot(self) -> list[BackendRun]:
+        """Copy what is known of every run.
+
+        Returns
+        -------
+        list of BackendRun
+            In no particular order.
+        """
+        runs = []
+        for entry in self._entries.values():
+            run = BackendRun()
+            run.CopyFrom(entry.run)
+            runs.append(run)
+        return runs
 
     # -- time ---------------------------------------------------------------------
 
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -27,6 +27,8 @@
 _HUB_LEASE_S = 1.0
 #: Pause between polls to a hub that did not answer: it may come back at any time.
 _KNOCK_S = 0.4
+#: The same while none answers: nothing can be served until one does.
+_URGENT_KNOCK_S = 0.1
 
 log = make_logger("registry")
 
@@ -154,6 +156,11 @@
         oldest_s = self._now_s() - _HUB_LEASE_S
         return [link for link in self.links.values() if link.heard_s > oldest_s]
 
+    def knock_urgently(self) -> None:
+        """Ask again at once while no control instance answers."""
+        if not self.live():
+            self._knock([])
+
     def poll(self) -> None:
         """Ask the followed control instances for what is new."""
         live = self.live()
@@ -183,13 +190,14 @@
 
     def _knock(self, followed: list[HubLink]) -> None:
         now_s = self._now_s()
+        pause_s = _KNOCK_S if followed else _URGENT_KNOCK_S
         silent = [
             link
             for link in self.links.values()
-            if link not in followed and now_s - link.knocked_s >= _KNOCK_S
+            if link not in followed and now_s - link.knocked_s >= pause_s
         ]
         random.shuffle(silent)
-        if not self._is_control:
+        if followed and not self._is_control:
             silent = silent[:_FOLLOWED_COUNT]
         for link in silent:
             link.knocked_s = now_s
--- a/tests/control/test_raft.py
+++ b/tests/control/test_raft.py
@@ -10,6 +10,7 @@
 
 from agatethread.control import RaftNode, Role
 from agatethread.exceptions import DiskFullError
+from agatethread.wire.control_pb2 import VoteRequest
 from benchmarks.control_world import ControlWorld
 from benchmarks.virtual_time import VirtualLoop
 
@@ -217,6 +218,28 @@
         with mock.patch("os.fsync"):
             self.run_world(scenario)
 
+    def test_failed_candidacy_does_not_hold_up_others(self):
+        """A member that has just stood in vain still votes for a better log."""
+
+        async def scenario(world):
+            leader = self.leader(world)
+            voter, better = (n for n in world.names if n != leader.name)
+            await world.kill(leader.name)
+            world.network.cut = {frozenset((voter, better))}
+            await asyncio.sleep(2)
+            node = world.nodes[voter]
+            await node._stand()
+            request = VoteRequest(
+                term=node.term + 1,
+                candidate=better,
+                last_index=node.last_index + 1,
+                last_term=node.term,
+                pre_vote=True,
+            )
+            self.assertTrue(node.on_vote(request).granted)
+
+        self.run_world(scenario)
+
     def test_oracle_sees_votes_from_a_lost_disk(self):
         """If a lost disk voted as if it were whole, a change could be lost."""
 
