--- a/src/agatethread/datapath/_flows.py
+++ b/src/agatethread/datapath/_flows.py
@@ -177,8 +177,9 @@
                 flow.backend.fail(flow.waits_since_s, now_s)
                 flow.waits_since_s = now_s
             return
+        is_first = flow.sent is None
         flow.sent = packet.sequence
-        if not flow.busy:
+        if is_first or not flow.busy:
             self._set_busy(flow, True)
             flow.waits_since_s = now_s
             flow.progress = packet.sequence
--- /dev/null
+++ b/tests/datapath/test_flows.py
@@ -0,0 +1,105 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from agatethread.datapath import Backend, FlowLoads
+from tests.datapath.worlds import opening, packet, run
+
+
+class TestFlowLoads(unittest.TestCase):
+    def setUp(self):
+        self.loads = FlowLoads(100)
+        self.backend = Backend(run(1))
+
+    def counts(self):
+        return self.backend.flows, self.backend.in_flight
+
+    def test_request_counts_until_its_answer_is_acknowledged(self):
+        """A request is in progress from the caller's bytes to its acknowledgement."""
+        self.loads.open(opening().key, self.backend, 0.0)
+        self.assertEqual(self.counts(), (1, 1))
+        self.loads.note(packet(acknowledged=1), self.backend, 0.01)
+        self.loads.note(packet(payload_bytes=80), self.backend, 0.01)
+        self.assertEqual(self.counts(), (1, 1))
+        self.loads.note(packet(sequence=180, acknowledged=900), self.backend, 0.05)
+        self.assertEqual(self.counts(), (1, 0))
+        self.loads.note(packet(closes=True), self.backend, 0.06)
+        self.assertEqual(self.counts(), (0, 0))
+
+    def test_upload_in_progress_is_no_sign_of_silence(self):
+        """Bytes beyond a window show that earlier ones were acknowledged."""
+        self.loads.open(opening().key, self.backend, 0.0)
+        for number in range(40):
+            sent = packet(sequence=number * 1_200, payload_bytes=1_200)
+            self.loads.note(sent, self.backend, 0.02 * number)
+        late = packet(sequence=30 * 1_200, payload_bytes=1_200)
+        self.loads.note(late, self.backend, 0.9)
+        self.assertEqual(self.backend.failures, 0)
+
+    def test_window_sent_again_is_one_sign(self):
+        """Sixteen packets of one flow that come again count once."""
+        self.loads.open(opening().key, self.backend, 0.0)
+        self.loads.note(packet(sequence=0), self.backend, 0.01)
+        window = [packet(sequence=n * 1_200, payload_bytes=1_200) for n in range(16)]
+        for sent in window:
+            self.loads.note(sent, self.backend, 1.0)
+        for sent in window:
+            self.loads.note(sent, self.backend, 1.2)
+        self.assertEqual(self.backend.failures, 1)
+
+    def test_flow_that_moved_here_is_counted(self):
+        """A flow that was opened through another instance is counted when seen."""
+        self.loads.note(packet(payload_bytes=80), self.backend, 0.0)
+        self.assertEqual(self.counts(), (1, 1))
+
+    def test_flow_without_packets_is_dropped(self):
+        """A flow that went on elsewhere is not counted for ever."""
+        self.loads.open(opening().key, self.backend, 0.0)
+        self.loads.sweep(5.0)
+        self.assertEqual(self.counts(), (1, 0))
+        self.loads.sweep(30.0)
+        self.assertEqual((self.counts(), len(self.loads)), ((0, 0), 0))
+
+    def test_number_of_records_is_bounded(self):
+        """More flows than the limit go uncounted, not unserved."""
+        for port in range(500):
+            self.loads.open(opening(port).key, self.backend, 0.0)
+        self.assertEqual(len(self.loads), 100)
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(1, 3),
+                st.integers(0, 1),
+                st.sampled_from(("open", "data", "answer", "close", "sweep")),
+                st.integers(0, 1 << 32),
+            ),
+            max_size=60,
+        )
+    )
+    def test_counts_equal_what_is_recorded(self, steps):
+        """Whatever comes, counts never drift from the records."""
+        loads = FlowLoads(2)
+        backends = [Backend(run(1)), Backend(run(2))]
+        now_s = 0.0
+        for port, which, what, number in steps:
+            backend = backends[which]
+            now_s += 0.7
+            if what == "open":
+                loads.open(opening(port).key, backend, now_s)
+            elif what == "data":
+                sent = packet(port, sequence=number % (1 << 32), payload_bytes=9)
+                loads.note(sent, backend, now_s)
+            elif what == "answer":
+                sent = packet(port, acknowledged=number % (1 << 32))
+                loads.note(sent, backend, now_s)
+            elif what == "close":
+                loads.note(packet(port, closes=True), backend, now_s)
+            else:
+                loads.sweep(now_s)
+            flows = [flow for flow in loads._flows.values()]
+            for one in backends:
+                mine = [flow for flow in flows if flow.backend is one]
+                self.assertEqual(one.flows, len(mine))
+                self.assertEqual(one.in_flight, sum(flow.busy for flow in mine))
--- /dev/null
+++ b/tests/platform/test_bodies.py
@@ -0,0 +1,156 @@
+import copy
+import json
+import unittest
+
+from agatethread_platform.bodies import (
+    decode_configuration,
+    decode_report,
+    run_number,
+)
+from hypothesis import given
+from hypothesis import strategies as st
+
+from agatethread.exceptions import DocumentError, FieldError
+from agatethread.routing import Target, check_document
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "198.18.0.1",
+            "path_prefix": "/8080/",
+            "route_type": "non_idempotent",
+            "timeout_ms": 1500,
+            "target_latency_ms": 150,
+            "priority": 1,
+            "service": "tab",
+            "max_attempts": 2,
+        },
+        {
+            "name": "r-2",
+            "host": "198.18.0.1",
+            "path_prefix": "/8443/",
+            "timeout_ms": 1200,
+            "backends": [
+                {"service": "tab", "weight": 90},
+                {"service": "archive", "weight": 10},
+            ],
+        },
+    ],
+    "services": [{"name": "tab", "health_path": "/healthz"}, {"name": "archive"}],
+    "limits": {"idle_timeout_ms": 15000},
+}
+REPORT = {
+    "service": "tab",
+    "address": "10.128.0.9:8080",
+    "zone": "hall-a",
+    "version": "v1",
+    "capacity": 2,
+    "state": "ready",
+    "warmup_remaining_ms": 1500,
+    "sequence": 4,
+}
+
+
+def changed(base, path, value):
+    """A copy of a body with one value replaced."""
+    body = copy.deepcopy(base)
+    part = body
+    for key in path[:-1]:
+        part = part[key]
+    part[path[-1]] = value
+    return json.dumps(body).encode()
+
+
+class TestConfiguration(unittest.TestCase):
+    def test_routes_are_read(self):
+        """Hosts, ports, services and weights are read from the platform's names."""
+        document = decode_configuration(json.dumps(CONFIGURATION).encode())
+        check_document(document)
+        single, split = document.rules
+        self.assertEqual((single.host, single.port), (0xC6120001, 8080))
+        self.assertEqual(single.targets, (Target("tab", 1),))
+        self.assertEqual(split.targets, (Target("tab", 90), Target("archive", 10)))
+
+    def test_bad_bodies_are_refused(self):
+        """What can't be read in full is refused with the fields at fault."""
+        whole = json.dumps(CONFIGURATION).encode()
+        bad = (
+            whole[: len(whole) // 2],
+            b"",
+            b"[]",
+            b"\xff\xfe",
+            b"[" * 100_000,
+            changed(CONFIGURATION, ["version"], "7"),
+            changed(CONFIGURATION, ["version"], 0),
+            changed(CONFIGURATION, ["version"], True),
+            changed(CONFIGURATION, ["routes"], None),
+            changed(CONFIGURATION, ["routes", 0, "host"], "tab.example"),
+            changed(CONFIGURATION, ["routes", 0, "path_prefix"], "/"),
+            changed(CONFIGURATION, ["routes", 0, "path_prefix"], "/70000/"),
+            changed(CONFIGURATION, ["routes", 1, "backends", 0, "weight"], "x"),
+            b'{"version": 8, "services": []}',
+        )
+        for body in bad:
+            with self.subTest(body=body[:60]), self.assertRaises(DocumentError):
+                decode_configuration(body)
+
+    @given(st.binary(max_size=300))
+    def test_any_bytes_are_read_or_refused(self, body):
+        """Bytes of any kind give a document or a typed error."""
+        try:
+            decode_configuration(body)
+        except DocumentError:
+            return
+
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.text(max_size=9),
+            lambda inner: (
+                st.lists(inner, max_size=3)
+                | st.dictionaries(
+                    st.sampled_from(("version", "routes", "services", "host")), inner
+                )
+            ),
+            max_leaves=12,
+        )
+    )
+    def test_any_json_is_read_or_refused(self, value):
+        """JSON of any shape gives a document or a typed error."""
+        try:
+            decode_configuration(json.dumps(value).encode())
+        except DocumentError:
+            return
+
+
+class TestReport(unittest.TestCase):
+    def test_report_is_read(self):
+        """A report is read under the project's names."""
+        report = decode_report("i-7f3a91c2", json.dumps(REPORT).encode())
+        self.assertEqual((report.number, report.slots), (0x7F3A91C2, 2))
+        self.assertEqual((report.warm_up_s, report.draining), (1.5, False))
+        draining = changed(REPORT, ["state"], "draining")
+        self.assertTrue(decode_report("i-1", draining).draining)
+
+    def test_bad_reports_are_refused(self):
+        """Wrong types, addresses and ids are refused with a typed error."""
+        for path, value in (
+            (["address"], "nowhere"),
+            (["address"], "10.0.0.1:99999"),
+            (["sequence"], "4"),
+            (["capacity"], None),
+        ):
+            body = changed(REPORT, path, value)
+            with self.subTest(path=path):
+                with self.assertRaises((DocumentError, FieldError)):
+                    decode_report("i-1", body)
+
+    @given(st.text(max_size=30))
+    def test_any_id_gives_a_number_or_an_error(self, run_id):
+        """Every id is a number of 64 bits, or refused."""
+        try:
+            number = run_number(run_id)
+        except FieldError:
+            return
+        self.assertTrue(0 < number < 1 << 64)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,49 @@
+import platform
+import unittest
+
+import agatethread_platform
+from agatethread_platform.settings import parse_platform_settings
+
+from agatethread.exceptions import SettingsError
+
+TEXT = """node_name=edge-1
+zone=hall-a
+ip=10.1.0.10
+listen_addrs.datagram_addr=10.1.0.10:8172
+listen_addrs.readiness_addr=10.1.0.10:8167
+internal_port_range=7720,7735
+seed_addrs=10.1.0.12:8166,10.2.0.43:8166
+bootstrap=true
+heartbeat_interval_ms=1200
+fault_tolerance.machines=2
+bounds.grace_s=6
+something.new=1
+"""
+
+
+class TestSettings(unittest.TestCase):
+    def test_settings_are_read(self):
+        """Lines are read into the project's names and units."""
+        settings = parse_platform_settings("file", TEXT)
+        self.assertEqual(settings.name, "edge-1")
+        self.assertEqual(settings.seeds, ("10.1.0.12:8166", "10.2.0.43:8166"))
+        self.assertEqual((settings.registry_port, settings.log_port), (7720, 7721))
+        self.assertEqual(settings.report_interval_s, 1.2)
+        self.assertEqual((settings.is_first_start, settings.losses_borne), (True, 2))
+
+    def test_every_fault_is_named(self):
+        """Missing and wrong fields are named together."""
+        text = TEXT.replace("node_name=edge-1", "").replace("7720,7735", "x")
+        text = text.replace("machines=2", "machines=two")
+        with self.assertRaises(SettingsError) as caught:
+            parse_platform_settings("file", text)
+        fields = [fault.field for fault in caught.exception.exceptions]
+        self.assertEqual(
+            sorted(fields),
+            ["fault_tolerance.machines", "internal_port_range", "node_name"],
+        )
+
+    def test_folder_does_not_shadow_the_standard_module(self):
+        """The folder's name hides neither its package nor Python's own module."""
+        self.assertTrue(platform.system())
+        self.assertTrue(agatethread_platform.__doc__)
--- /dev/null
+++ b/tests/registry/test_spreading.py
@@ -0,0 +1,239 @@
+import asyncio
+import random
+import unittest
+import zlib
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from agatethread.exceptions import DatagramError
+from agatethread.observability import Counters
+from agatethread.registry import (
+    RegistryHub,
+    RoutesOffer,
+    RunTable,
+    Subscription,
+    decode_message,
+)
+from agatethread.wire.registry_pb2 import RoutingTable, TableRoute
+from tests.fakes import Clock, address
+from tests.registry.test_runs import INTERVAL_S, report
+
+
+def compressed_table(version, routes=1):
+    """An offer of a table with some routes."""
+    table = RoutingTable(version=version, services=["tab"])
+    for number in range(routes):
+        table.routes.append(TableRoute(host=random.getrandbits(32), port=number + 1))
+    return RoutesOffer(version, zlib.compress(table.SerializeToString()))
+
+
+class World:
+    """One entry instance, some control instances, and a network that loses messages."""
+
+    def __init__(self, domains=("a", "b"), seed=1):
+        self.clock = Clock()
+        self.random = random.Random(seed)
+        self.loss = 0.0
+        self.cut = set()
+        self.sent_bytes = 0
+        self.queue = []
+        self.runs, self.tables = [], []
+        self.hubs, self.links = {}, {}
+        self.entry_address = address(99)
+        seeds = [address(number) for number in range(len(domains))]
+        for number, domain in enumerate(domains):
+            self.start_hub(number, domain, seeds)
+        self.entry = Subscription(
+            "a",
+            False,
+            seeds,
+            self.entry_address,
+            self.sender(self.entry_address),
+            self.clock,
+            self.runs.append,
+            self.tables.append,
+            Counters(),
+        )
+
+    def start_hub(self, number, domain, seeds):
+        """Start a control instance, empty."""
+        place = address(number)
+        table = RunTable(INTERVAL_S, self.clock)
+        hub = RegistryHub(table, domain, self.sender(place), self.clock, lambda: True)
+        link = Subscription(
+            domain,
+            True,
+            seeds,
+            place,
+            self.sender(place),
+            self.clock,
+            table.take,
+            lambda _: None,
+            Counters(),
+        )
+        self.hubs[place] = (table, hub)
+        self.links[place] = link
+
+    def sender(self, source):
+        def send(message, target):
+            data = message.SerializeToString()
+            self.sent_bytes += len(data)
+            lost = self.random.random() < self.loss
+            if not lost and not self.cut & {source, target}:
+                self.queue.append((data, source, target))
+
+        return send
+
+    def deliver(self):
+        """Deliver until nothing is under way."""
+        while self.queue:
+            data, source, target = self.queue.pop(0)
+            message = decode_message(data)
+            body = message.WhichOneof("body")
+            if target == self.entry_address:
+                handler = (
+                    self.entry.on_delta if body == "delta" else self.entry.on_chunk
+                )
+                handler(getattr(message, body), source)
+            elif body == "poll":
+                self.hubs[target][1].on_poll(message.poll, source)
+            else:
+                self.links[target].on_delta(message.delta, source)
+
+    def step(self, count=1, step_s=0.1):
+        """Let time pass."""
+        for number in range(count):
+            self.clock.value_s += step_s
+            for table, hub in self.hubs.values():
+                table.sweep()
+                hub.flush()
+            if number % 4 == 0:
+                self.entry.poll()
+                for link in self.links.values():
+                    link.poll()
+            self.deliver()
+
+    def table(self, number):
+        return self.hubs[address(number)][0]
+
+    def hub(self, number):
+        return self.hubs[address(number)][1]
+
+    def told(self):
+        """What the entry instance was told last of each run."""
+        return {run.id: run for run in self.runs}
+
+
+class TestSpreading(unittest.TestCase):
+    def test_report_reaches_everyone(self):
+        """A report to one control instance is known to the others and to entries."""
+        world = World(("a", "b", "c"))
+        world.step(5)
+        world.table(2).report(report())
+        world.step(10)
+        self.assertIn("i-1", world.told())
+        self.assertIsNotNone(world.table(0).find("i-1"))
+
+    def test_nothing_is_lost_on_a_lossy_network(self):
+        """With a third of all messages lost, every change arrives in the end."""
+        world = World()
+        world.loss = 0.33
+        world.step(10)
+        for number in range(1, 60):
+            world.table(number % 2).report(report(number, place=number))
+            world.table(number % 2).leave(f"i-{number - 3:x}") if number > 3 else None
+            world.step()
+        world.step(60)
+        ended = {run.id for run in world.told().values() if run.ended}
+        self.assertEqual(len(world.told()), 59)
+        self.assertEqual(ended, {f"i-{number:x}" for number in range(1, 57)})
+
+    def test_drain_is_known_when_its_taker_dies(self):
+        """What was acknowledged is known elsewhere before the acknowledgement."""
+        world = World()
+        world.step(5)
+        world.table(0).report(report(sequence=1))
+        world.step(5)
+
+        async def drain():
+            world.table(0).report(report(sequence=2, draining=True))
+            waiting = asyncio.ensure_future(world.hub(0).spread(1.0))
+            await asyncio.sleep(0)
+            world.deliver()
+            return await waiting
+
+        self.assertTrue(asyncio.run(drain()))
+        world.cut = {address(0)}
+        self.assertTrue(world.told()["i-1"].draining)
+        self.assertTrue(world.table(1).find("i-1").draining)
+
+    def test_spread_reports_that_somebody_does_not_know(self):
+        """A subscriber that can't be reached makes the wait end without success."""
+        world = World()
+        world.step(5)
+        world.cut = {world.entry_address}
+
+        async def drain():
+            world.table(0).report(report(draining=True))
+            return await world.hub(0).spread(0.05)
+
+        self.assertFalse(asyncio.run(drain()))
+
+    def test_restarted_hub_is_followed_anew(self):
+        """An entry instance reads a restarted control instance from the start."""
+        world = World(("a",))
+        world.step(5)
+        world.table(0).report(report(number=1, place=1))
+        world.step(5)
+        world.start_hub(0, "a", [address(0)])
+        world.table(0).report(report(number=2, place=2))
+        world.step(10)
+        self.assertIn("i-2", world.told())
+        self.assertFalse(world.entry.is_reporting("i-1"))
+
+    def test_silence_of_all_control_says_nothing(self):
+        """Without any control instance in sight every run may be alive."""
+        world = World()
+        world.step(5)
+        world.cut = set(world.hubs)
+        world.step(20)
+        self.assertTrue(world.entry.is_reporting("i-never-heard-of"))
+
+    def test_follows_its_own_failure_domain_and_another(self):
+        """Two control instances are followed, in two failure domains."""
+        world = World(("b", "a", "a", "c"))
+        world.step(20)
+        followed = world.entry._choose(world.entry.live())
+        domains = [link.failure_domain for link in followed]
+        self.assertEqual(domains[0], "a")
+        self.assertNotEqual(domains[1], "a")
+
+    def test_table_in_parts_arrives_whole_and_never_goes_back(self):
+        """A large table arrives in spite of losses, and an older one is passed over."""
+        world = World()
+        world.loss = 0.3
+        world.step(5)
+        world.hub(0).offer_routes(compressed_table(7, routes=600))
+        world.step(60)
+        self.assertEqual([table.version for table in world.tables], [7])
+        world.hub(1).offer_routes(compressed_table(6))
+        world.step(20)
+        self.assertEqual([table.version for table in world.tables], [7])
+
+    def test_idle_traffic_is_bounded(self):
+        """With nothing new, an entry instance and its hubs say little."""
+        world = World()
+        world.step(20)
+        before = world.sent_bytes
+        world.step(100)
+        self.assertLess((world.sent_bytes - before) / 10.0, 2_000)
+
+    @given(st.binary(max_size=200))
+    def test_any_datagram_is_read_or_refused(self, data):
+        """Bytes of any kind give a message with a body or a typed error."""
+        try:
+            message = decode_message(data)
+        except DatagramError:
+            return
+        self.assertIsNotNone(message.WhichOneof("body"))
--- /dev/null
+++ b/tests/routing/test_table.py
@@ -0,0 +1,88 @@
+import unittest
+
+from agatethread.exceptions import (
+    DocumentError,
+    FieldError,
+    RouteConflictError,
+    UnknownServiceError,
+)
+from agatethread.routing import (
+    RouteRule,
+    RoutingDocument,
+    Target,
+    check_document,
+    decode_table,
+    encode_table,
+    keep_earlier_services,
+)
+
+
+def rule(name="r-1", port=443, service="tab", timeout_ms=1_000, weight=1):
+    """A route to one service."""
+    return RouteRule(name, 0xC6120001, port, (Target(service, weight),), timeout_ms)
+
+
+def document(*rules, version=1, services=("tab", "archive")):
+    """A document of some routes."""
+    return RoutingDocument(version, services, rules)
+
+
+class TestCheckDocument(unittest.TestCase):
+    def faults_of(self, checked):
+        with self.assertRaises(DocumentError) as caught:
+            check_document(checked)
+        return [type(fault) for fault in caught.exception.exceptions]
+
+    def test_sound_document_passes(self):
+        """Routes that differ in their port are no conflict."""
+        check_document(document(rule(), rule("r-2", port=444)))
+
+    def test_each_fault_has_its_type(self):
+        """Every kind of fault is told by its type."""
+        cases = (
+            (document(rule(service="nobody")), UnknownServiceError),
+            (document(rule(), rule("r-2")), RouteConflictError),
+            (document(rule(), rule()), RouteConflictError),
+            (document(rule(timeout_ms=0)), FieldError),
+            (document(rule(weight=0)), FieldError),
+            (document(services=("tab", "tab")), FieldError),
+        )
+        for checked, kind in cases:
+            with self.subTest(kind=kind, checked=checked):
+                self.assertEqual(self.faults_of(checked), [kind])
+
+    def test_all_faults_are_named_at_once(self):
+        """A document with several faults names each of them."""
+        faults = self.faults_of(document(rule(timeout_ms=0), rule("r-2", 443, "x")))
+        self.assertEqual(len(faults), 3)
+
+
+class TestTable(unittest.TestCase):
+    def test_table_is_read_as_written(self):
+        """An entry instance sees the routes of the document."""
+        table = decode_table(encode_table(document(rule(), version=5)))
+        route = table.routes[0xC6120001, 443]
+        self.assertEqual((table.version, route.targets), (5, (Target("tab", 1),)))
+
+    def test_earlier_services_keep_their_open_flows(self):
+        """A route that moved on still forwards what its earlier services serve."""
+        first = encode_table(document(rule(service="tab")))
+        second = encode_table(document(rule(service="archive"), version=2))
+        keep_earlier_services(second, first)
+        third = encode_table(
+            document(rule(service="new"), version=3, services=("new",))
+        )
+        keep_earlier_services(third, second)
+        route = decode_table(third).routes[0xC6120001, 443]
+        self.assertEqual(route.targets, (Target("new", 1),))
+        self.assertEqual(route.services, {"tab", "archive", "new"})
+
+    def test_route_that_was_away_starts_anew(self):
+        """A route that was dropped in between has no earlier services."""
+        first = encode_table(document(rule(service="tab")))
+        without = encode_table(document(version=2))
+        keep_earlier_services(without, first)
+        third = encode_table(document(rule(service="archive"), version=3))
+        keep_earlier_services(third, without)
+        route = decode_table(third).routes[0xC6120001, 443]
+        self.assertEqual(route.services, {"archive"})
