--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -19,14 +20,14 @@
 from agatethread.control._peers import connect_peer
 from agatethread.control._raft import RaftNode
 from agatethread.control._replication import ReplicationServicer
-from agatethread.control._roles import PeerCalls
+from agatethread.control._roles import PeerCalls, Role
 from agatethread.control._storage import LogStorage
 from agatethread.exceptions import (
     AgatethreadError,
     DiskFullError,
     UnavailableError,
 )
-from agatethread.observability import Counters, make_logger
+from agatethread.observability import Counters, Histogram, Measures, make_logger
 from agatethread.registry import (
     RegistryHub,
     RegistryTransport,
@@ -143,6 +144,7 @@
         self.timers = self.add_dependency(TimerService())
         self.node: RaftNode | None = None
         self._server: grpc.aio.Server | None = None
+        self._change_s = Histogram()
         self._joiners: dict[str, tuple[float, ControlMember]] = {}
         self._join_calls: dict[str, PeerCalls] = {}
         self._changing_members = False
@@ -214,6 +216,9 @@
         else:
             return
 
+        if self.should_stop:
+            storage.close()
+            return
         node.subscribe(self._on_applied)
         self._server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
         servicer = ReplicationServicer(node, self._on_join)
@@ -278,7 +283,11 @@
         check_document(document)
         node = self._opened_node()
         if document.version <= node.documents.routes.version:
-            log.info("change overtaken", version=document.version)
+            log.info(
+                "change overtaken",
+                version=document.version,
+                version_held=node.documents.routes.version,
+            )
             return
         put = PutRoutes(
             version=document.version,
@@ -286,12 +295,22 @@
             table=encode_table(document).SerializeToString(deterministic=True),
         )
         command = Command(put_routes=put).SerializeToString()
+        started_s, before = self.timers.now_s(), node.documents.routes.version
         try:
             outcome = await asyncio.wait_for(node.propose(command), _CHANGE_LIMIT_S)
         except TimeoutError:
             raise UnavailableError("the change was not agreed in time") from None
+        took_s = self.timers.now_s() - started_s
         self.counters["changes_agreed"] += 1
-        log.info("change agreed", version=document.version, index=outcome.index)
+        self._change_s.record(took_s)
+        log.info(
+            "change agreed",
+            version=document.version,
+            version_before=before,
+            index=outcome.index,
+            term=node.term,
+            took_s=round(took_s, 3),
+        )
 
     async def read_routes(self) -> bytes:
         """Read the newest agreed routing table.
@@ -487,6 +506,34 @@
 
     # -- state --------------------------------------------------------------------
 
+    def measures(self) -> Measures:
+        """Name what this instance measures.
+
+        Returns
+        -------
+        Measures
+            Read when somebody asks for metrics.
+        """
+
+        def of_log(read: Callable[[RaftNode], float]) -> Callable[[], float]:
+            return lambda: read(self.node) if self.node else 0.0
+
+        return Measures(
+            self.counters,
+            {
+                "runs": lambda: float(len(self.runs)),
+                "subscribers": lambda: float(len(self.hub.dump())),
+                "leads": of_log(lambda node: float(node.role is Role.LEADER)),
+                "term": of_log(lambda node: float(node.term)),
+                "commit_index": of_log(lambda node: float(node.commit_index)),
+                "leader_silent_s": of_log(lambda node: node.heard_leader_ago_s),
+                "routes_version": of_log(
+                    lambda node: float(node.documents.routes.version)
+                ),
+            },
+            {"change_s": self._change_s},
+        )
+
     def dump(self) -> dict[str, Any]:
         """Give the instance's state.
 
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -71,6 +71,7 @@
         "service",
         "shares_label",
         "slots",
+        "told_s",
         "warm_s",
     )
 
@@ -83,6 +84,8 @@
         self.failure_domain = run.failure_domain
         self.slots = max(1, run.slots)
         self.sequence = 0
+        #: When a control instance last told of a change.
+        self.told_s = 0.0
         self.draining = False
         self.ended = False
         self.ended_s = 0.0
@@ -224,6 +227,7 @@
         if run.sequence > backend.sequence:
             backend.sequence = run.sequence
             backend.warm_s = self._now_s() + run.warm_up_ms / 1000
+        backend.told_s = self._now_s()
         if run.draining and not backend.draining:
             backend.draining = True
             self._log_change(backend, "draining")
--- a/src/agatethread/datapath/_flows.py
+++ b/src/agatethread/datapath/_flows.py
@@ -6,6 +6,7 @@
 
 from agatethread.datapath._backends import Backend
 from agatethread.datapath._packets import FlowKey, Packet
+from agatethread.observability import Histogram
 
 #: A flow without a packet for so long is no longer counted; it may go on elsewhere.
 _IDLE_S = 15.0
@@ -68,6 +69,9 @@
     def __init__(self, limit_count: int):
         self._limit_count = limit_count
         self._flows: dict[FlowKey, Flow] = {}
+        #: Time from an opening, and from a request, until the caller has its answer.
+        self.opening_s = Histogram()
+        self.answer_s = Histogram()
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -160,6 +164,8 @@
         before = flow.acknowledged
         if not flow.opened or before is None:
             # The first packet after the opening shows that the opening was answered.
+            if flow.busy and not flow.opened:
+                self.opening_s.record(now_s - flow.waits_since_s)
             flow.opened = True
             flow.acknowledged = packet.acknowledged
             flow.progress = packet.sequence
@@ -168,6 +174,8 @@
         if _is_after(packet.acknowledged, before):
             flow.acknowledged = packet.acknowledged
             flow.backend.answer(now_s)
+            if flow.busy:
+                self.answer_s.record(now_s - flow.waits_since_s)
             self._set_busy(flow, False)
 
     def _note_request(self, flow: Flow, packet: Packet, now_s: float) -> None:
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -10,7 +10,7 @@
 
 from agatethread.datapath._backends import Backend, BackendView
 from agatethread.datapath._flows import FlowLoads
-from agatethread.datapath._packets import Address, Packet, PacketCodec
+from agatethread.datapath._packets import Address, FlowKey, Packet, PacketCodec
 from agatethread.datapath._placing import choose_backend, choose_service
 from agatethread.observability import Counters, make_logger
 from agatethread.routing import NO_ROUTES, RouteTable
@@ -30,7 +30,7 @@
     failure_domain : str
         Of this instance.
     send : callable
-        Sends a datagram to an address.
+        Sends a datagram to an address; also gets its flow and place in it.
     now_s : callable
         Monotonic clock.
     counters : Counters
@@ -44,7 +44,7 @@
         codec: PacketCodec,
         view: BackendView,
         failure_domain: str,
-        send: Callable[[bytes, Address], None],
+        send: Callable[[bytes, Address, FlowKey, int], None],
         now_s: Callable[[], float],
         counters: Counters,
         flow_limit_count: int,
@@ -125,6 +125,7 @@
             else:
                 self._drop(packet, "no_backend_known")
             return
+        self._log_placed(packet, backend, tried, now_s)
         backend.start_trial(now_s)
         self.loads.open(packet.key, backend, now_s)
         self._forward(packet, backend)
@@ -132,6 +133,28 @@
         if packet.copy:
             self._counters["openings_again"] += 1
 
+    def _log_placed(
+        self,
+        packet: Packet,
+        backend: Backend,
+        tried: tuple[Backend, ...],
+        now_s: float,
+    ) -> None:
+        log.info(
+            "flow placed",
+            flow=str(packet.key),
+            copy=packet.copy,
+            run=backend.id,
+            label=backend.label,
+            service=backend.service,
+            in_flight=backend.in_flight,
+            flows=backend.flows,
+            failures=backend.failures,
+            told_ago_s=round(now_s - backend.told_s, 3),
+            tried=[one.id for one in tried],
+            table_version=self.table.version,
+        )
+
     # -- packets of open flows ----------------------------------------------------
 
     def _on_packet(self, packet: Packet) -> None:
@@ -153,16 +176,32 @@
 
     def _forward(self, packet: Packet, backend: Backend) -> None:
         data = self._codec.encode_for_backend(packet, backend.label, backend.number)
-        self._send(data, backend.address)
+        self._send(data, backend.address, packet.key, packet.sequence)
         self._counters["forwarded"] += 1
 
     def _drop(self, packet: Packet, reason: str) -> None:
         self._counters[f"dropped_{reason}"] += 1
-        log.debug("packet dropped", why=reason, flow=packet.key, label=packet.label)
+        log.info(
+            "packet dropped",
+            why=reason,
+            flow=str(packet.key),
+            label=packet.label,
+            table_version=self.table.version,
+        )
 
     def _reset(self, packet: Packet, reason: str) -> None:
         if packet.resets:
             return
         self._counters[f"reset_{reason}"] += 1
-        log.debug("flow reset", why=reason, flow=packet.key, label=packet.label)
-        self._send(self._codec.encode_reset(packet), self._codec.caller_address(packet))
+        log.info(
+            "flow reset",
+            why=reason,
+            flow=str(packet.key),
+            label=packet.label,
+            table_version=self.table.version,
+        )
+        data, target = (
+            self._codec.encode_reset(packet),
+            self._codec.caller_address(packet),
+        )
+        self._send(data, target, packet.key, packet.sequence)
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -8,9 +8,10 @@
 
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._forwarder import LabelForwarder
+from agatethread.datapath._pacing import PacedSender
 from agatethread.datapath._packets import PacketCodec
 from agatethread.datapath._readiness import Readiness
-from agatethread.observability import Counters, make_logger
+from agatethread.observability import Counters, Measures, make_logger
 from agatethread.registry import RegistryTransport, Subscription
 from agatethread.routing import decode_table
 from agatethread.settings import parse_address
@@ -53,6 +54,8 @@
         Packed registry addresses of some control instances.
     leave_notice_s : float
         How long it forwards on after it has said that it is leaving.
+    link_bits_per_s : float
+        Rate of the instance's link.
     flow_limit_count : int
         Most flows whose load is counted.
     """
@@ -63,6 +66,7 @@
     registry: str
     seeds: tuple[bytes, ...]
     leave_notice_s: float
+    link_bits_per_s: float
     flow_limit_count: int = 100_000
 
 
@@ -90,11 +94,18 @@
         self.readiness = Readiness(now_s)
         self.view = BackendView(now_s, counters)
         self._socket = open_socket(settings.datagrams)
+        self.sender = PacedSender(
+            send_or_count(self._socket, counters),
+            settings.link_bits_per_s,
+            now_s,
+            lambda delay_s, call: asyncio.get_running_loop().call_later(delay_s, call),
+            counters,
+        )
         self.forwarder = LabelForwarder(
             codec,
             self.view,
             settings.failure_domain,
-            send_or_count(self._socket, counters),
+            self.sender.send,
             now_s,
             counters,
             settings.flow_limit_count,
@@ -178,6 +189,29 @@
 
     # -- state --------------------------------------------------------------------
 
+    def measures(self) -> Measures:
+        """Name what this instance measures.
+
+        Returns
+        -------
+        Measures
+            Read when somebody asks for metrics.
+        """
+        loads = self.forwarder.loads
+        return Measures(
+            self.counters,
+            {
+                "ready": lambda: float(self.is_ready),
+                "flows": lambda: float(len(loads)),
+                "waiting_bytes": lambda: float(self.sender.waiting_bytes),
+                "backends": lambda: float(len(self.view)),
+                "routes_version": lambda: float(self.forwarder.table.version),
+                "controls_in_sight": lambda: float(len(self.subscription.live())),
+                "control_silent_s": lambda: self.timers.now_s() - self._heard_control_s,
+            },
+            {"opening_s": loads.opening_s, "answer_s": loads.answer_s},
+        )
+
     def dump(self) -> dict[str, Any]:
         """Give the instance's state.
 
--- a/src/agatethread/datapath/_packets.py
+++ b/src/agatethread/datapath/_packets.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from socket import inet_ntoa
 from typing import NamedTuple
 
 Address = tuple[str, int]
@@ -15,6 +16,11 @@
     host: int
     port: int
 
+    def __str__(self) -> str:
+        caller = inet_ntoa(self.caller.to_bytes(4, "big"))
+        host = inet_ntoa(self.host.to_bytes(4, "big"))
+        return f"{caller}:{self.caller_port}>{host}:{self.port}"
+
 
 class Packet(NamedTuple):
     """The decoded header of a caller's packet, and the packet itself."""
--- a/src/agatethread/observability/__init__.py
+++ b/src/agatethread/observability/__init__.py
@@ -1,6 +1,24 @@
 """Logs, metrics and dumps."""
 
-from agatethread.observability._logging import make_logger, set_up_logging
+from agatethread.observability._exposition import Measures, expose
+from agatethread.observability._histogram import Histogram
+from agatethread.observability._logging import (
+    log_to_standard_output,
+    make_logger,
+    set_up_logging,
+)
 from agatethread.observability._metrics import Counters, start_metrics
+from agatethread.observability._output import LineBudget, LineWriter
 
-__all__ = ["Counters", "make_logger", "set_up_logging", "start_metrics"]
+__all__ = [
+    "Counters",
+    "Histogram",
+    "LineBudget",
+    "LineWriter",
+    "Measures",
+    "expose",
+    "log_to_standard_output",
+    "make_logger",
+    "set_up_logging",
+    "start_metrics",
+]
--- a/src/agatethread/observability/_logging.py
+++ b/src/agatethread/observability/_logging.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from agatethread.observability._output import LineBudget, LineWriter
 from agatethread.settings import LoggingSettings
 
 _FORMAT_HUMAN = (
@@ -27,8 +28,8 @@
         "failure_domain": record.extra["failure_domain"],
         "part": record.channel,
         "message": record.message,
-        **_fields(record),
     }
+    line = _fields(record) | line
     if record.exc_info:
         line["traceback"] = record.formatted_exception
     return json.dumps(line, default=str)
@@ -42,6 +43,75 @@
     return line
 
 
+class BoundedHandler(logbook.Handler):
+    """Writes records as JSON lines, bounded by kind and never waiting.
+
+    Parameters
+    ----------
+    writer : LineWriter
+        Takes the lines.
+    budget : LineBudget
+        Bounds them.
+    level : int
+        Least level that is written.
+    """
+
+    def __init__(self, writer: LineWriter, budget: LineBudget, level: int):
+        super().__init__(level)
+        self._writer = writer
+        self._budget = budget
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write a record, or count it as left out.
+
+        Parameters
+        ----------
+        record : logbook.LogRecord
+            The record.
+        """
+        reason = record.kwargs.get("why", "")
+        left_out = self._budget.take(f"{record.channel} {record.message} {reason}")
+        if left_out is None:
+            return
+        if left_out:
+            record.kwargs["left_out_before"] = left_out
+        if self._writer.lost_count:
+            record.kwargs["lines_lost"] = self._writer.lost_count
+        self._writer.write(_format_json(record, None))
+
+
+def log_to_standard_output(
+    instance: str, failure_domain: str, level: str = "info"
+) -> LineWriter:
+    """Write every log record of the process to standard output as a JSON line.
+
+    Parameters
+    ----------
+    instance, failure_domain : str
+        Put on every line.
+    level : str, optional
+        Least level that is written.
+
+    Returns
+    -------
+    LineWriter
+        To be flushed now and then.
+    """
+    writer = LineWriter(sys.stdout.fileno())
+    handler = BoundedHandler(writer, LineBudget(), logbook.lookup_level(level.upper()))
+    _add_origin(instance, failure_domain)
+    handler.push_application()
+    return writer
+
+
+def _add_origin(instance: str, failure_domain: str) -> None:
+    def add_origin(record: logbook.LogRecord) -> None:
+        record.extra["instance"] = instance
+        record.extra["failure_domain"] = failure_domain
+
+    logbook.Processor(add_origin).push_application()
+
+
 def set_up_logging(
     settings: LoggingSettings, instance: str, failure_domain: str
 ) -> None:
@@ -54,17 +124,12 @@
     instance, failure_domain : str
         Put on every record.
     """
-
-    def add_origin(record: logbook.LogRecord) -> None:
-        record.extra["instance"] = instance
-        record.extra["failure_domain"] = failure_domain
-
     handler = logbook.StreamHandler(
         sys.stderr, level=logbook.lookup_level(settings.level.upper())
     )
     as_json = settings.format == "json"
     handler.formatter = _format_json if as_json else _format_human
-    logbook.Processor(add_origin).push_application()
+    _add_origin(instance, failure_domain)
     handler.push_application()
 
 
--- a/tests/datapath/test_forwarder.py
+++ b/tests/datapath/test_forwarder.py
@@ -27,7 +27,7 @@
             CODEC,
             self.view,
             "a",
-            lambda data, target: self.sent.append((data, target)),
+            lambda data, target, *_: self.sent.append((data, target)),
             self.clock,
             self.counters,
             flow_limit_count=1_000,
--- /dev/null
+++ b/tests/observability/test_exposition.py
@@ -0,0 +1,22 @@
+import unittest
+
+from agatethread.observability import Counters, Histogram, Measures, expose
+
+
+class TestExpose(unittest.TestCase):
+    def test_all_kinds_of_measures_are_written(self):
+        """Counters, gauges and latencies are written as Prometheus text."""
+        latency = Histogram((0.1, 1.0))
+        for value in (0.05, 0.1, 0.5, 3.0):
+            latency.record(value)
+        counters = Counters(forwarded=7)
+        gauges = {"flows": lambda: 3.0}
+        text = expose(Measures(counters, gauges, {"answer_s": latency})).decode()
+        for line in (
+            'agatethread_events_total{event="forwarded"} 7.0',
+            'agatethread_state{gauge="flows"} 3.0',
+            'agatethread_answer_s_bucket{le="0.1"} 2.0',
+            'agatethread_answer_s_bucket{le="+Inf"} 4.0',
+            "agatethread_answer_s_count 4.0",
+        ):
+            self.assertIn(line, text)
--- a/tests/platform/test_roles.py
+++ b/tests/platform/test_roles.py
@@ -51,6 +51,7 @@
         "report_interval_s": 0.2,
         "losses_borne": 0,
         "grace_s": 0.5,
+        "link_bits_per_s": 1e9,
     }
     return PlatformSettings(**(values | fields))
 
