--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,8 +1,10 @@
 import platform
+import tempfile
 import unittest
+from pathlib import Path
 
 import agatethread_platform
-from agatethread_platform.settings import parse_platform_settings
+from agatethread_platform.settings import SettingsWatch, parse_platform_settings
 
 from agatethread.exceptions import SettingsError
 
@@ -47,3 +49,23 @@
         """The folder's name hides neither its package nor Python's own module."""
         self.assertTrue(platform.system())
         self.assertTrue(agatethread_platform.__doc__)
+
+    def test_change_is_read_and_a_bad_one_passed_over(self):
+        """New seeds are taken without a restart; unreadable settings change nothing."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.conf"
+            path.write_text(TEXT)
+            seen = []
+            watch = SettingsWatch(path, seen.append)
+            watch.read()
+            for bad in ("nonsense", TEXT.replace("7720,7735", "x")):
+                path.write_text(bad)
+                watch.read()
+            path.write_bytes(b"\xff\xfe")
+            watch.read()
+            path.unlink()
+            watch.read()
+            self.assertEqual(seen, [])
+            path.write_text(TEXT.replace("10.1.0.12", "10.9.0.1"))
+            watch.read()
+        self.assertEqual(seen[0].seeds[0], "10.9.0.1:8166")
