--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -9,6 +9,8 @@
 
 from mode import Service
 
+from agatethread.control._disk_health import DiskHealth
+from agatethread.control._followers import Confirmations, Follower
 from agatethread.control._log import ReplicatedLog
 from agatethread.control._members import (
     find_member,
@@ -40,10 +42,6 @@
 _ELECTION_POLL_S = 0.02
 #: Share of the election timeout that is waited for after a start.
 _FIRST_TIMEOUT_RATIO = 0.25
-#: Refused writes in a row after which a leader lets another one lead.
-_WRITE_FAILURES_BORNE = 2
-#: Pause before an instance that could not write stands for election again.
-_DISK_PAUSE_S = 2.0
 
 Connect = Callable[[ControlMember], PeerCalls]
 
@@ -101,17 +99,12 @@
         # After a restart of all nobody leads, and the sooner one stands the better; if
         # somebody does lead, the pre-vote is refused and nothing is disturbed.
         self._timeout_s = self._draw_timeout_s() * _FIRST_TIMEOUT_RATIO
-        self._next: dict[str, int] = {}
-        self._match: dict[str, int] = {}
-        self._answered_s: dict[str, float] = {}
-        self._wake: dict[str, asyncio.Event] = {}
+        self._followers: dict[str, Follower] = {}
         self._listeners: list[Callable[[], None]] = []
-        #: Numbers the rounds in which members confirm that this one leads.
-        self._round = 0
-        self._confirmed: dict[str, int] = {}
-        self._confirming: list[tuple[int, asyncio.Future[None]]] = []
-        self._write_failures = 0
-        self._may_stand_s = 0.0
+        self._confirmations = Confirmations(
+            lambda names: has_majority(self.members, [self.name, *names])
+        )
+        self._disk = DiskHealth(now_s)
         self._waiting: dict[int, tuple[int, asyncio.Future[Outcome]]] = {}
         self._commit_to(min(self._recovered_commit_index, self.last_index))
 
@@ -228,17 +221,21 @@
                 continue
             if self._now_s() - self._waiting_since_s < self._timeout_s:
                 continue
-            if not self.is_voter or self._now_s() < self._may_stand_s:
+            if not self.is_voter or not self._disk.may_stand:
                 continue
             try:
                 await self._stand()
             except DiskFullError as error:
                 log.error("can't stand for election: disk", error=str(error))
-                self._may_stand_s = self._now_s() + _DISK_PAUSE_S
+                self._disk.pause()
 
     def _check_quorum(self) -> None:
         oldest_s = self._now_s() - 2 * self._settings.election_timeout_s
-        reached = [name for name, at in self._answered_s.items() if at > oldest_s]
+        reached = [
+            name
+            for name, follower in self._followers.items()
+            if follower.answered_s > oldest_s
+        ]
         if not has_majority(self.members, [self.name, *reached]):
             log.warning("leader lost its quorum", term=self.term)
             self._become_follower("")
@@ -310,11 +307,9 @@
         log.info("leader", term=self.term, last_index=self.last_index)
         self.role = Role.LEADER
         self.leader = self.name
-        self._write_failures = 0
+        self._disk.succeed()
         self._allow_vote()
-        for states in (self._next, self._match, self._answered_s, self._wake):
-            states.clear()
-        self._confirmed.clear()
+        self._followers.clear()
         # An entry of its own term lets it commit those of earlier terms.
         self._log.append([LogEntry(index=self.last_index + 1, term=self.term)])
         self._follow_members()
@@ -324,16 +319,12 @@
         """Start to replicate to new members; tasks of those that left end alone."""
         others = self._others()
         for name in others:
-            if name not in self._next:
-                self._next[name] = self.last_index + 1
-                self._match[name] = 0
-                self._answered_s[name] = self._now_s()
-                self._wake[name] = asyncio.Event()
-                self.add_future(self._replicate(name, self.term))
-        for name in set(self._next) - set(others):
-            self._wake.pop(name).set()
-            for states in (self._next, self._match, self._answered_s):
-                del states[name]
+            if name not in self._followers:
+                follower = Follower(self.last_index + 1, answered_s=self._now_s())
+                self._followers[name] = follower
+                self.add_future(self._replicate(name, follower, self.term))
+        for name in set(self._followers) - set(others):
+            self._followers.pop(name).wake.set()
 
     def on_vote(self, request: VoteRequest) -> VoteReply:
         """Answer a candidate.
@@ -385,12 +376,12 @@
 
     # -- replication --------------------------------------------------------------
 
-    async def _replicate(self, name: str, term: int) -> None:
-        peer, wake = self._call(name), self._wake[name]
-        while self._wake.get(name) is wake and self._leads(term):
-            wake.clear()
+    async def _replicate(self, name: str, follower: Follower, term: int) -> None:
+        peer = self._call(name)
+        while self._followers.get(name) is follower and self._leads(term):
+            follower.wake.clear()
             try:
-                more = await self._send_to(name, peer)
+                more = await self._send_to(name, follower, peer)
             except UnavailableError:
                 more = False
             except DiskFullError as error:
@@ -400,45 +391,47 @@
                 continue
             try:
                 interval_s = self._settings.heartbeat_interval_s
-                await asyncio.wait_for(wake.wait(), interval_s)
+                await asyncio.wait_for(follower.wake.wait(), interval_s)
             except TimeoutError:
                 continue
 
     def _leads(self, term: int) -> bool:
         return self.role is Role.LEADER and self.term == term and not self.should_stop
 
-    async def _send_to(self, name: str, peer: PeerCalls) -> bool:
+    async def _send_to(self, name: str, follower: Follower, peer: PeerCalls) -> bool:
         """Send what a follower lacks; return whether there is more to send."""
-        term, number = self.term, self._round
-        if self._next[name] <= self._log.base_index:
+        term, number = self.term, self._confirmations.round
+        if follower.next_index <= self._log.base_index:
             reply = await peer.install_snapshot(self._snapshot_request(name))
         else:
-            reply = await peer.append(self._append_request(name))
-        if not self._leads(term) or name not in self._next:
+            request = self._append_request(name, follower.next_index)
+            reply = await peer.append(request)
+        if not self._leads(term) or self._followers.get(name) is not follower:
             return False
         if reply.term > self.term:
             self._adopt_term(reply.term)
             return False
 
-        self._answered_s[name] = self._now_s()
-        self._confirmed[name] = number
-        self._settle_confirming()
+        follower.answered_s = self._now_s()
+        follower.confirmed_round = number
+        self._confirmations.settle(self._followers)
         if not reply.success:
-            self._next[name] = max(1, min(self._next[name] - 1, reply.match_index + 1))
+            earlier = min(follower.next_index - 1, reply.match_index + 1)
+            follower.next_index = max(1, earlier)
             return True
-        self._match[name] = max(self._match[name], reply.match_index)
-        self._next[name] = self._match[name] + 1
+        follower.match_index = max(follower.match_index, reply.match_index)
+        follower.next_index = follower.match_index + 1
         self._advance_commit()
-        return self._next[name] <= self.last_index
+        return follower.next_index <= self.last_index
 
-    def _append_request(self, name: str) -> AppendRequest:
-        previous = self._next[name] - 1
+    def _append_request(self, name: str, next_index: int) -> AppendRequest:
+        previous = next_index - 1
         return AppendRequest(
             term=self.term,
             leader=self.name,
             previous_index=previous,
             previous_term=self._log.term_at(previous),
-            entries=self._log.batch_from(previous + 1),
+            entries=self._log.batch_from(next_index),
             commit_index=self.commit_index,
             receiver=name,
         )
@@ -455,7 +448,8 @@
         )
 
     def _advance_commit(self) -> None:
-        held = {**self._match, self.name: self.last_index}
+        held = {name: one.match_index for name, one in self._followers.items()}
+        held[self.name] = self.last_index
         index = replicated_index(self.members, held)
         if index > self.commit_index and self._log.term_at(index) == self.term:
             self._commit_to(index)
@@ -579,12 +573,11 @@
 
     def _fail_waiting(self) -> None:
         waiting_for = [waiting for _, waiting in self._waiting.values()]
-        waiting_for += [waiting for _, waiting in self._confirming]
+        waiting_for += self._confirmations.drain()
         for waiting in waiting_for:
             if not waiting.done():
                 waiting.set_exception(NotLeaderError(self.leader))
         self._waiting.clear()
-        self._confirming.clear()
 
     def _compact(self) -> None:
         applied_count = self.commit_index - self._log.base_index
@@ -673,7 +666,7 @@
         except DiskFullError:
             self._note_write_failure()
             raise
-        self._write_failures = 0
+        self._disk.succeed()
         if entry.HasField("members"):
             self._refresh_members()
             self._follow_members()
@@ -684,15 +677,13 @@
         return await waiting
 
     def _note_write_failure(self) -> None:
-        self._write_failures += 1
-        if self._write_failures >= _WRITE_FAILURES_BORNE:
+        if self._disk.fail():
             log.error("leader can't write: another one should lead", term=self.term)
-            self._may_stand_s = self._now_s() + _DISK_PAUSE_S
             self._become_follower("")
 
     def _wake_all(self) -> None:
-        for wake in self._wake.values():
-            wake.set()
+        for follower in self._followers.values():
+            follower.wake.set()
 
     # -- reads --------------------------------------------------------------------
 
@@ -716,27 +707,23 @@
         """
         if not self.has_committed_in_term:
             raise NotLeaderError(self.leader)
-        self._round += 1
-        waiting = asyncio.get_running_loop().create_future()
-        self._confirming.append((self._round, waiting))
+        waiting = self._confirmations.start()
         self._wake_all()
-        self._settle_confirming()
+        self._confirmations.settle(self._followers)
         try:
             await asyncio.wait_for(waiting, limit_s)
         except TimeoutError:
             raise UnavailableError("leadership was not confirmed in time") from None
 
-    def _settle_confirming(self) -> None:
-        still_waiting = []
-        for number, waiting in self._confirming:
-            agreeing = [name for name, at in self._confirmed.items() if at >= number]
-            if waiting.done():
-                continue
-            if has_majority(self.members, [self.name, *agreeing]):
-                waiting.set_result(None)
-            else:
-                still_waiting.append((number, waiting))
-        self._confirming = still_waiting
+    def sync_commit_index(self) -> None:
+        """Sync the hint how far the log is committed; waits for the disk.
+
+        Raises
+        ------
+        DiskFullError
+            If it could not be synced.
+        """
+        self._storage.sync_commit()
 
     # -- observation --------------------------------------------------------------
 
@@ -753,7 +740,8 @@
         float
             Seconds.
         """
-        return self._now_s() - self._answered_s.get(name, self._now_s())
+        follower = self._followers.get(name)
+        return self._now_s() - follower.answered_s if follower else 0.0
 
     def lag_count(self, name: str) -> int:
         """Tell how many entries a member lacks, as far as this leader knows.
@@ -768,7 +756,8 @@
         int
             Entries.
         """
-        return self.last_index - self._match.get(name, 0)
+        follower = self._followers.get(name)
+        return self.last_index - (follower.match_index if follower else 0)
 
     @property
     def heard_leader_ago_s(self) -> float:
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -149,8 +149,9 @@
         self._join_calls: dict[str, PeerCalls] = {}
         self._changing_members = False
         self._offered_version = 0
-        self._saving_runs = False
-        self._saved_index = 0
+        self._remembering = False
+        #: Index of the runs' changes and commit index that the disk holds.
+        self._remembered = (0, 0)
         self._started_s = self.timers.now_s()
         self._registry_port = parse_address(settings.registry)[1]
         self._target_port = parse_address(settings.target)[1]
@@ -196,7 +197,7 @@
         self.timers.subscribe(_URGENT_INTERVAL_S, self.subscription.knock_urgently)
         self.timers.subscribe(_FLUSH_INTERVAL_S, self.hub.flush)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self.runs.sweep)
-        self.timers.subscribe(_REMEMBER_INTERVAL_S, self._remember_runs)
+        self.timers.subscribe(_REMEMBER_INTERVAL_S, self._remember)
         self.timers.subscribe(_MEMBERS_INTERVAL_S, self._manage_members)
         self.timers.subscribe(_JOIN_INTERVAL_S, self._ask_to_join)
         self.subscription.poll()
@@ -397,22 +398,26 @@
             self.counters["spread_incomplete"] += 1
             log.warning("not known everywhere in time", what=what, run=run_id)
 
-    def _remember_runs(self) -> None:
-        if not self._saving_runs and self.runs.changed_index > self._saved_index:
-            self._saving_runs = True
-            self.add_future(self._save_runs())
+    def _remember(self) -> None:
+        commit_index = self.node.commit_index if self.node else 0
+        now = (self.runs.changed_index, commit_index)
+        if not self._remembering and now != self._remembered:
+            self._remembering = True
+            self.add_future(self._write_hints(now))
 
-    async def _save_runs(self) -> None:
-        index = self.runs.changed_index
+    async def _write_hints(self, now: tuple[int, int]) -> None:
         folder, runs = self.settings.control.data_dir, self.runs.snapshot()
         try:
-            # In a thread: a slow disk must not hold up reports.
-            await asyncio.to_thread(save_runs, folder, runs)
-            self._saved_index = index
-        except OSError as error:
-            log.warning("backend servers not saved: disk", error=str(error))
+            # In threads: a slow disk must not hold up reports.
+            if now[0] != self._remembered[0]:
+                await asyncio.to_thread(save_runs, folder, runs)
+            if now[1] != self._remembered[1]:
+                await asyncio.to_thread(self.node.sync_commit_index)
+            self._remembered = now
+        except (OSError, DiskFullError) as error:
+            log.warning("hints for a restart not saved: disk", error=str(error))
         finally:
-            self._saving_runs = False
+            self._remembering = False
 
     def _is_settled(self) -> bool:
         up_s = self.timers.now_s() - self._started_s
--- a/src/agatethread/control/_storage.py
+++ b/src/agatethread/control/_storage.py
@@ -125,6 +125,24 @@
         # It is written without a sync, so it may be torn; nothing depends on it.
         return _INDEX.unpack(payload)[0] if payload else 0
 
+    def sync_commit(self) -> None:
+        """Sync what `save_commit` wrote; may be called from another thread.
+
+        Raises
+        ------
+        DiskFullError
+            If it could not be synced.
+        """
+        file = self._commit_file
+        if file is None:
+            return
+        try:
+            os.fsync(file.fileno())
+            self._sync_folder()
+        except (OSError, ValueError) as error:
+            # ValueError: closed meanwhile, by the end of the process.
+            raise DiskFullError(str(error)) from None
+
     def save_commit(self, index: int) -> None:
         """Write how far the log is committed, without a sync.
 
--- a/src/agatethread/registry/_memory.py
+++ b/src/agatethread/registry/_memory.py
@@ -1,9 +1,10 @@
 """What a control instance knows of backend servers, kept over its own restart.
 
 Only a hint: it lets packets flow again before every backend server has reported anew.
-It is written without a sync, so after a loss of power it may be old or missing.
+It is written some time after a change, so it may be old or missing.
 """
 
+import os
 import struct
 import zlib
 from pathlib import Path
@@ -20,7 +21,7 @@
 
 
 def save_runs(folder: str, runs: list[BackendRun]) -> None:
-    """Write the runs.
+    """Write the runs, synced: this takes as long as the disk takes.
 
     Parameters
     ----------
@@ -37,8 +38,16 @@
     payload = Delta(runs=runs).SerializeToString()
     path = Path(folder) / _FILE
     temporary = path.with_suffix(".new")
-    temporary.write_bytes(_CHECKSUM.pack(zlib.crc32(payload)) + payload)
+    with open(temporary, "wb") as file:
+        file.write(_CHECKSUM.pack(zlib.crc32(payload)) + payload)
+        file.flush()
+        os.fsync(file.fileno())
     temporary.replace(path)
+    directory = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(directory)
+    finally:
+        os.close(directory)
 
 
 def load_runs(folder: str) -> list[BackendRun]:
