--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -8,22 +8,21 @@
 import asyncio
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import grpc
 from mode import Service
 
 from agatethread.control._identity import claim_name
-from agatethread.control._member_changes import Progress, next_members
+from agatethread.control._member_keeper import MemberKeeper
 from agatethread.control._members import find_member
 from agatethread.control._peers import connect_peer
 from agatethread.control._raft import RaftNode
 from agatethread.control._replication import ReplicationServicer
 from agatethread.control._roles import PeerCalls, Role
+from agatethread.control._routing_settings import RoutingControlSettings
 from agatethread.control._storage import LogStorage
 from agatethread.exceptions import (
-    AgatethreadError,
     DiskFullError,
     UnavailableError,
 )
@@ -40,8 +39,6 @@
 )
 from agatethread.routing import RoutingDocument, check_document, encode_table
 from agatethread.settings import (
-    ControlSettings,
-    TlsSettings,
     format_address,
     parse_address,
 )
@@ -50,23 +47,16 @@
 from agatethread.wire.control_pb2 import (
     Command,
     ControlMember,
-    JoinRequest,
-    Members,
     PutRoutes,
 )
-from agatethread.wire.registry_pb2 import BackendRun, RegistryMessage, RoutingTable
+from agatethread.wire.registry_pb2 import BackendRun, RegistryMessage
 
 _POLL_INTERVAL_S = 0.3
 _FLUSH_INTERVAL_S = 0.1
 _URGENT_INTERVAL_S = 0.05
 _SWEEP_INTERVAL_S = 0.2
-_MEMBERS_INTERVAL_S = 0.2
+_MEMBERS_INTERVAL_S = 0.25
 _REMEMBER_INTERVAL_S = 0.5
-_JOIN_INTERVAL_S = 0.3
-#: Without a leader for so long it asks to be taken in: longer than an election.
-_JOIN_AFTER_S = 1.5
-#: An instance that asked to be taken in is remembered for a few of its calls.
-_JOINER_KEPT_S = 2.0
 #: Reporting intervals after which every backend server that lives has reported here.
 _SETTLED_INTERVALS = 1.5
 #: An acknowledgement of a report waits so long for the others to have it; its sender
@@ -85,47 +75,6 @@
 log = make_logger("control")
 
 
-@dataclass(frozen=True, slots=True)
-class RoutingControlSettings:
-    """Addresses and sizes of a control instance.
-
-    Attributes
-    ----------
-    name : str
-        Of the instance, for logs.
-    failure_domain : str
-        Of the instance.
-    target : str
-        ``IP:port`` where other control instances reach it.
-    registry : str
-        ``IP:port`` of its registry socket.
-    api : str
-        ``IP:port`` where operators reach it.
-    seeds : tuple of ControlMember
-        Some control instances; at the first start the founders.
-    is_first_start : bool
-        Whether the whole system starts for the first time.
-    report_interval_s : float
-        Time between reports of a backend server.
-    voter_count : int
-        Voters that are needed to bear the losses to be borne.
-    control : ControlSettings
-        Data folder and timing of the log.
-    """
-
-    name: str
-    failure_domain: str
-    target: str
-    registry: str
-    api: str
-    seeds: tuple[ControlMember, ...]
-    is_first_start: bool
-    report_interval_s: float
-    voter_count: int
-    control: ControlSettings
-    tls: TlsSettings | None = field(default=None)
-
-
 class RoutingControl(Service):
     """Keeps the routing table and the registry of backend servers.
 
@@ -145,9 +94,7 @@
         self.node: RaftNode | None = None
         self._server: grpc.aio.Server | None = None
         self._change_s = Histogram()
-        self._joiners: dict[str, tuple[float, ControlMember]] = {}
-        self._join_calls: dict[str, PeerCalls] = {}
-        self._changing_members = False
+        self._keeper: MemberKeeper | None = None
         self._offered_version = 0
         self._remembering = False
         #: Index of the runs' changes and commit index that the disk holds.
@@ -199,7 +146,6 @@
         self.timers.subscribe(_SWEEP_INTERVAL_S, self.runs.sweep)
         self.timers.subscribe(_REMEMBER_INTERVAL_S, self._remember)
         self.timers.subscribe(_MEMBERS_INTERVAL_S, self._manage_members)
-        self.timers.subscribe(_JOIN_INTERVAL_S, self._ask_to_join)
         self.subscription.poll()
         self.add_future(self._open_log())
         log.info("control instance started", instance=self.settings.name)
@@ -222,7 +168,8 @@
             return
         node.subscribe(self._on_applied)
         self._server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
-        servicer = ReplicationServicer(node, self._on_join)
+        self._keeper = self._make_keeper(node)
+        servicer = ReplicationServicer(node, self._keeper.on_join)
         control_pb2_grpc.add_ReplicationServicer_to_server(servicer, self._server)
         self._server.add_insecure_port(self.settings.target)
         await self._server.start()
@@ -251,6 +198,28 @@
             connect=lambda member: self._connect(member.target),
         )
 
+    def _make_keeper(self, node: RaftNode) -> MemberKeeper:
+        settings = self.settings
+        address = ControlMember(
+            target=settings.target,
+            api=settings.api,
+            failure_domain=settings.failure_domain,
+        )
+        return MemberKeeper(
+            node,
+            address,
+            settings.voter_count,
+            lambda: [self._target_of(one.address) for one in self.subscription.live()],
+            self._connect,
+            self.timers.now_s,
+            self.add_future,
+        )
+
+    def _manage_members(self) -> None:
+        if self._keeper is not None and self.node is not None:
+            self._keeper.ask_to_join()
+            self._keeper.manage()
+
     def _connect(self, target: str) -> PeerCalls:
         return connect_peer(self.settings, target, _CALL_TIMEOUT_S)
 
@@ -358,12 +327,6 @@
         self._offered_version = routes.version
         self.hub.offer_routes(RoutesOffer(routes.version, zlib.compress(routes.table)))
 
-    @property
-    def routes_table(self) -> RoutingTable:
-        """The routing table as applied here, sure or not."""
-        table = self.node.documents.routes.table if self.node else b""
-        return RoutingTable.FromString(table)
-
     # -- backend servers ----------------------------------------------------------
 
     async def report(self, report: Report) -> None:
@@ -438,77 +401,6 @@
         if self.runs.take(run):
             self.hub.flush()
 
-    # -- members ------------------------------------------------------------------
-
-    def _on_join(self, member: ControlMember) -> bool:
-        if self.node is None or not self.node.has_committed_in_term:
-            return False
-        self._joiners[member.name] = (self.timers.now_s(), member)
-        return True
-
-    def _ask_to_join(self) -> None:
-        node = self.node
-        if node is None:
-            return
-        is_member = find_member(node.members, node.name) is not None
-        if is_member and node.heard_leader_ago_s < _JOIN_AFTER_S:
-            return
-        myself = ControlMember(
-            name=node.name,
-            target=self.settings.target,
-            api=self.settings.api,
-            failure_domain=self.settings.failure_domain,
-        )
-        for link in self.subscription.live():
-            self.add_future(self._join(self._target_of(link.address), myself))
-
-    async def _join(self, target: str, myself: ControlMember) -> None:
-        if target not in self._join_calls:
-            self._join_calls[target] = self._connect(target)
-        try:
-            await self._join_calls[target].join(JoinRequest(member=myself))
-        except UnavailableError as error:
-            log.debug("not taken in", target=target, error=str(error))
-
-    def _manage_members(self) -> None:
-        node = self.node
-        if node is None or self._changing_members or not node.can_change_members:
-            return
-        oldest_s = self.timers.now_s() - _JOINER_KEPT_S
-        self._joiners = {
-            name: (at, one)
-            for name, (at, one) in self._joiners.items()
-            if at > oldest_s
-        }
-        progress = {
-            member.name: Progress(
-                node.silence_s(member.name), node.lag_count(member.name)
-            )
-            for member in node.members.members
-            if member.name != node.name
-        }
-        joiners = [one for _, one in self._joiners.values()]
-        members = next_members(
-            node.members, node.name, joiners, progress, self.settings.voter_count
-        )
-        if members is not None:
-            self._changing_members = True
-            self.add_future(self._change_members(members))
-
-    async def _change_members(self, members: Members) -> None:
-        log.info(
-            "members change",
-            voters=[one.name for one in members.members if one.voter],
-            learners=[one.name for one in members.members if not one.voter],
-        )
-        try:
-            change = self.node.propose_members(members)
-            await asyncio.wait_for(change, _CHANGE_LIMIT_S)
-        except (AgatethreadError, TimeoutError) as error:
-            log.warning("members not changed", error=repr(error))
-        finally:
-            self._changing_members = False
-
     # -- state --------------------------------------------------------------------
 
     def measures(self) -> Measures:
--- /dev/null
+++ b/tests/control/test_routing_control.py
@@ -0,0 +1,202 @@
+import asyncio
+import shutil
+import tempfile
+import unittest
+from pathlib import Path
+
+from agatethread.control import RoutingControl, RoutingControlSettings
+from agatethread.control._members import voter_names
+from agatethread.exceptions import (
+    AgatethreadError,
+    DocumentError,
+    NotLeaderError,
+    UnavailableError,
+)
+from agatethread.observability import Counters
+from agatethread.registry import Report
+from agatethread.routing import RouteRule, RoutingDocument, Target
+from agatethread.settings import ControlSettings
+from agatethread.wire.control_pb2 import ControlMember
+from tests.fakes import address, free_port
+
+
+def document(version, timeout_ms=1_000):
+    """A table with one route."""
+    rule = RouteRule("r-1", 1, 443, (Target("tab", 1),), timeout_ms)
+    return RoutingDocument(version, ("tab",), (rule,))
+
+
+class Fleet:
+    """Control instances on loopback addresses that share their ports."""
+
+    def __init__(self, folder, count):
+        self.folder = Path(folder)
+        self.log_port, self.registry_port = free_port(), free_port()
+        self.running = {}
+        self.seeds = tuple(self.founder(number) for number in range(count))
+
+    def host(self, number):
+        return f"127.0.1.{number + 1}"
+
+    def founder(self, number):
+        target = f"{self.host(number)}:{self.log_port}"
+        return ControlMember(name=target, target=target, api=target, voter=True)
+
+    async def start(self, number, is_first_start=False):
+        host = self.host(number)
+        control = RoutingControl(
+            RoutingControlSettings(
+                name=f"control-{number}",
+                failure_domain=f"domain-{number}",
+                target=f"{host}:{self.log_port}",
+                registry=f"{host}:{self.registry_port}",
+                api=f"{host}:80",
+                seeds=self.seeds,
+                is_first_start=is_first_start,
+                report_interval_s=0.3,
+                voter_count=3,
+                control=ControlSettings(
+                    str(self.folder / str(number)),
+                    heartbeat_interval_s=0.05,
+                    election_timeout_s=0.3,
+                    snapshot_entry_count=10,
+                ),
+            ),
+            Counters(),
+        )
+        await control.start()
+        self.running[number] = control
+
+    async def kill(self, number):
+        await self.running.pop(number).stop()
+
+    def lose_disk(self, number):
+        shutil.rmtree(self.folder / str(number))
+
+    async def until(self, condition, limit_s=15.0):
+        """Wait until a condition of the fleet holds."""
+        for _ in range(int(limit_s / 0.05)):
+            if condition():
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError([one.dump() for one in self.running.values()])
+
+    async def put(self, changed):
+        """Send a change to all in turn until one acknowledges it, as operators do."""
+        for _ in range(100):
+            for control in list(self.running.values()):
+                try:
+                    await control.put_routes(changed, str(changed.version).encode())
+                    return
+                except (NotLeaderError, UnavailableError):
+                    continue
+            await asyncio.sleep(0.05)
+        raise AssertionError("nobody took the change")
+
+    async def read(self):
+        """Read from all in turn until one is sure."""
+        for _ in range(100):
+            for control in list(self.running.values()):
+                try:
+                    return await control.read_routes()
+                except AgatethreadError:
+                    continue
+            await asyncio.sleep(0.05)
+        raise AssertionError("nobody was sure")
+
+    def voters(self):
+        """Voters as all of the running instances know them; None while they differ."""
+        views = {
+            tuple(sorted(voter_names(one.node.members)))
+            for one in self.running.values()
+            if one.node is not None
+        }
+        return views.pop() if len(views) == 1 else None
+
+
+class TestRoutingControl(unittest.IsolatedAsyncioTestCase):
+    async def start_fleet(self, count=3):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        fleet = Fleet(folder.name, count)
+        for number in range(count):
+            await fleet.start(number, is_first_start=True)
+        self.addAsyncCleanup(self.stop_all, fleet)
+        return fleet
+
+    async def stop_all(self, fleet):
+        for number in list(fleet.running):
+            await fleet.kill(number)
+
+    async def test_highest_version_wins_and_the_first_of_equals(self):
+        """Older changes and others under the same number change nothing."""
+        fleet = await self.start_fleet()
+        await fleet.put(document(7))
+        await fleet.put(document(5))
+        await fleet.put(document(7, timeout_ms=9))
+        self.assertEqual(await fleet.read(), b"7")
+        with self.assertRaises(DocumentError):
+            await fleet.running[0].put_routes(document(9, timeout_ms=0), b"9")
+        self.assertEqual(await fleet.read(), b"7")
+
+    async def test_lost_disk_comes_back_as_a_voter_and_nothing_is_lost(self):
+        """One disk after the other is lost at its old address; the table stays."""
+        fleet = await self.start_fleet()
+        await fleet.put(document(1))
+        for number in range(3):
+            await fleet.kill(number)
+            fleet.lose_disk(number)
+            await fleet.put(document(2 + number))
+            await fleet.start(number)
+            names = [fleet.running[one] for one in fleet.running]
+            await fleet.until(
+                lambda new=fleet.running[number]: (
+                    new.node is not None and new.node.name in (fleet.voters() or ())
+                )
+            )
+            self.assertEqual((len(names), len(fleet.voters())), (3, 3))
+        self.assertEqual(await fleet.read(), b"4")
+
+    async def test_gone_instance_is_replaced_at_another_address(self):
+        """A newcomer takes the vote of one that does not come back."""
+        fleet = await self.start_fleet()
+        await fleet.put(document(1))
+        await fleet.kill(2)
+        await fleet.start(3)
+        newcomer = fleet.running[3]
+        await fleet.until(
+            lambda: (
+                newcomer.node is not None
+                and newcomer.node.name in (fleet.voters() or ())
+                and len(fleet.voters()) == 3
+            )
+        )
+        await fleet.kill(1)
+        await fleet.put(document(2))
+        self.assertEqual(await fleet.read(), b"2")
+
+    async def test_table_is_served_after_all_are_restarted(self):
+        """After a restart of all, the table and the backend servers are known."""
+        fleet = await self.start_fleet()
+        await fleet.put(document(3))
+        report = Report("i-1", 1, "tab", address(1), "domain-0", 2, 1)
+        await fleet.running[0].report(report)
+        await fleet.until(lambda: fleet.running[1].runs.find("i-1") is not None)
+        await asyncio.sleep(0.8)
+        for number in range(3):
+            await fleet.kill(number)
+        for number in range(3):
+            await fleet.start(number)
+        self.assertEqual(await fleet.read(), b"3")
+        self.assertIsNotNone(fleet.running[1].runs.find("i-1"))
+
+    async def test_minority_is_never_sure(self):
+        """An instance without the others refuses reads and changes."""
+        fleet = await self.start_fleet()
+        await fleet.put(document(1))
+        await fleet.kill(0)
+        await fleet.kill(1)
+        with self.assertRaises((NotLeaderError, UnavailableError)):
+            await fleet.running[2].read_routes()
+        with self.assertRaises((NotLeaderError, UnavailableError)):
+            await fleet.running[2].put_routes(document(2), b"2")
