--- a/src/agatethread/control/__init__.py
+++ b/src/agatethread/control/__init__.py
@@ -1,6 +1,7 @@
 """Control role: a replicated log of service documents, handed to entry instances."""
 
-from agatethread.control._instance import ControlInstance
+from typing import TYPE_CHECKING, Any
+
 from agatethread.control._raft import RaftNode
 from agatethread.control._roles import PeerCalls, Role
 from agatethread.control._routing_control import RoutingControl
@@ -8,6 +9,9 @@
 from agatethread.control._state import DocumentState
 from agatethread.control._storage import LogStorage
 
+if TYPE_CHECKING:
+    from agatethread.control._instance import ControlInstance
+
 __all__ = [
     "ControlInstance",
     "DocumentState",
@@ -18,3 +22,12 @@
     "RoutingControl",
     "RoutingControlSettings",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    # Loads gRPC, which a process that keeps a routing table needs only later.
+    if name == "ControlInstance":
+        from agatethread.control._instance import ControlInstance
+
+        return ControlInstance
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -6,20 +6,18 @@
 """
 
 import asyncio
+import importlib
 import zlib
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-import grpc
 from mode import Service
 
 from agatethread.control._identity import claim_name
 from agatethread.control._member_keeper import MemberKeeper
 from agatethread.control._members import find_member
-from agatethread.control._peers import connect_peer
 from agatethread.control._raft import RaftNode
-from agatethread.control._replication import ReplicationServicer
-from agatethread.control._roles import PeerCalls, Role
+from agatethread.control._roles import Role
 from agatethread.control._routing_settings import RoutingControlSettings
 from agatethread.control._storage import LogStorage
 from agatethread.exceptions import (
@@ -43,7 +41,7 @@
     parse_address,
 )
 from agatethread.timing import TimerService
-from agatethread.wire import control_pb2_grpc, pack_address, unpack_address
+from agatethread.wire import pack_address, unpack_address
 from agatethread.wire.control_pb2 import (
     Command,
     ControlMember,
@@ -51,6 +49,9 @@
 )
 from agatethread.wire.registry_pb2 import BackendRun, RegistryMessage
 
+if TYPE_CHECKING:
+    from agatethread.control._log_port import LogPort
+
 _POLL_INTERVAL_S = 0.3
 _FLUSH_INTERVAL_S = 0.1
 _URGENT_INTERVAL_S = 0.05
@@ -67,10 +68,8 @@
 #: A read that can't be confirmed by then is refused; its sender waits for a second.
 _READ_LIMIT_S = 0.8
 _REOPEN_S = 0.5
-#: Time for a call between control instances: two heartbeats' worth, and enough for a
-#: snapshot over a slow disk.
-_CALL_TIMEOUT_S = 0.6
-_STOP_GRACE_S = 0.2
+#: Module that is loaded only when the rest serves already.
+_LOG_PORT_MODULE = "agatethread.control._log_port"
 
 log = make_logger("control")
 
@@ -92,7 +91,7 @@
         self.counters = counters
         self.timers = self.add_dependency(TimerService())
         self.node: RaftNode | None = None
-        self._server: grpc.aio.Server | None = None
+        self._log_port: LogPort | None = None
         self._change_s = Histogram()
         self._keeper: MemberKeeper | None = None
         self._offered_version = 0
@@ -166,16 +165,15 @@
         if self.should_stop:
             storage.close()
             return
-        node.subscribe(self._on_applied)
-        self._server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
-        self._keeper = self._make_keeper(node)
-        servicer = ReplicationServicer(node, self._keeper.on_join)
-        control_pb2_grpc.add_ReplicationServicer_to_server(servicer, self._server)
-        self._server.add_insecure_port(self.settings.target)
-        await self._server.start()
+        # What the disk holds is served at once; the rest takes some time to load.
+        node.subscribe(lambda: self._offer(node))
+        self._offer(node)
+        module = await asyncio.to_thread(importlib.import_module, _LOG_PORT_MODULE)
+        self._log_port = port = module.LogPort(self.settings)
+        self._keeper = self._make_keeper(node, port)
+        await port.serve(node, self._keeper.on_join, self.settings.target)
         self.node = node
         await self.add_runtime_dependency(node)
-        self._on_applied()
         log.info(
             "log opened",
             name=node.name,
@@ -195,10 +193,10 @@
             storage,
             {},
             self.timers.now_s,
-            connect=lambda member: self._connect(member.target),
+            connect=lambda member: self._log_port.connect(member.target),
         )
 
-    def _make_keeper(self, node: RaftNode) -> MemberKeeper:
+    def _make_keeper(self, node: RaftNode, port: "LogPort") -> MemberKeeper:
         settings = self.settings
         address = ControlMember(
             target=settings.target,
@@ -210,7 +208,7 @@
             address,
             settings.voter_count,
             lambda: [self._target_of(one.address) for one in self.subscription.live()],
-            self._connect,
+            port.connect,
             self.timers.now_s,
             self.add_future,
         )
@@ -220,13 +218,10 @@
             self._keeper.ask_to_join()
             self._keeper.manage()
 
-    def _connect(self, target: str) -> PeerCalls:
-        return connect_peer(self.settings, target, _CALL_TIMEOUT_S)
-
     async def on_stop(self) -> None:
         """Stop listening."""
-        if self._server is not None:
-            await self._server.stop(_STOP_GRACE_S)
+        if self._log_port is not None:
+            await self._log_port.close()
         self._transport.close()
 
     # -- the routing table --------------------------------------------------------
@@ -320,8 +315,8 @@
         leader = find_member(self.node.members, self.node.leader)
         return leader.api if leader else ""
 
-    def _on_applied(self) -> None:
-        routes = self.node.documents.routes if self.node else PutRoutes()
+    def _offer(self, node: RaftNode) -> None:
+        routes = node.documents.routes
         if routes.version <= self._offered_version:
             return
         self._offered_version = routes.version
