--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -137,7 +137,7 @@
 
     async def on_start(self) -> None:
         """Listen, and open the log as soon as the disk allows."""
-        self.runs.remember(load_runs(self.settings.control.data_dir))
+        self.runs.remember(load_runs(self.settings.data_dir))
         self._transport.start(self._on_message)
         self.timers.subscribe(_POLL_INTERVAL_S, self.subscription.poll)
         self.timers.subscribe(_URGENT_INTERVAL_S, self.subscription.knock_urgently)
@@ -151,7 +151,7 @@
 
     async def _open_log(self) -> None:
         while not self.should_stop:
-            storage = LogStorage(self.settings.control.data_dir)
+            storage = LogStorage(self.settings.data_dir)
             try:
                 node = self._make_node(storage)
                 break
@@ -189,7 +189,7 @@
         )
         return RaftNode(
             name,
-            settings.control,
+            settings.timing,
             storage,
             {},
             self.timers.now_s,
@@ -218,6 +218,11 @@
             self._keeper.ask_to_join()
             self._keeper.manage()
 
+    async def leave(self) -> None:
+        """Stop gracefully: the others take over by themselves."""
+        leads = self.node is not None and self.node.role is Role.LEADER
+        log.info("leaving", leads=leads)
+
     async def on_stop(self) -> None:
         """Stop listening."""
         if self._log_port is not None:
@@ -335,7 +340,7 @@
         if self.runs.report(report):
             await self._spread("report", report.id, report.draining)
 
-    async def leave(self, run_id: str) -> None:
+    async def end_run(self, run_id: str) -> None:
         """Note that a run has ended; when this returns, it may be acknowledged.
 
         Parameters
@@ -364,7 +369,7 @@
             self.add_future(self._write_hints(now))
 
     async def _write_hints(self, now: tuple[int, int]) -> None:
-        folder, runs = self.settings.control.data_dir, self.runs.snapshot()
+        folder, runs = self.settings.data_dir, self.runs.snapshot()
         try:
             # In threads: a slow disk must not hold up reports.
             if now[0] != self._remembered[0]:
--- a/src/agatethread/control/_routing_settings.py
+++ b/src/agatethread/control/_routing_settings.py
@@ -5,6 +5,9 @@
 from agatethread.settings import ControlSettings, TlsSettings
 from agatethread.wire.control_pb2 import ControlMember
 
+#: A snapshot each 64 entries: so many tables of 100 kB take 5 % of a disk of 128 MB.
+DEFAULT_TIMING = ControlSettings(data_dir="", snapshot_entry_count=64)
+
 
 @dataclass(frozen=True, slots=True)
 class RoutingControlSettings:
@@ -28,10 +31,12 @@
         Whether the whole system starts for the first time.
     report_interval_s : float
         Time between reports of a backend server.
-    voter_count : int
-        Voters that are needed to bear the losses to be borne.
-    control : ControlSettings
-        Data folder and timing of the log.
+    losses_borne : int
+        Control instances whose loss at the same time has to be borne.
+    data_dir : str
+        Folder on a disk.
+    timing : ControlSettings, optional
+        Timing of the log; its folder and members are not used.
     """
 
     name: str
@@ -42,6 +47,12 @@
     seeds: tuple[ControlMember, ...]
     is_first_start: bool
     report_interval_s: float
-    voter_count: int
-    control: ControlSettings
+    losses_borne: int
+    data_dir: str
+    timing: ControlSettings = DEFAULT_TIMING
     tls: TlsSettings | None = field(default=None)
+
+    @property
+    def voter_count(self) -> int:
+        """Voters of which a majority is left after the losses to be borne."""
+        return 2 * self.losses_borne + 1
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -33,6 +33,12 @@
 _SWEEP_INTERVAL_S = 1.0
 _CHECK_INTERVAL_S = 0.1
 
+#: Routers ask each half second, and send elsewhere after two misses. A longer notice
+#: would leave more instances out at a time when they restart in turn.
+_NOTICE_S = 1.2
+#: Share of the time until it is killed that the notice may take at most.
+_GRACE_RATIO = 0.6
+
 log = make_logger("entry")
 
 
@@ -52,8 +58,8 @@
         ``IP:port`` where control instances are heard.
     seeds : tuple of bytes
         Packed registry addresses of some control instances.
-    leave_notice_s : float
-        How long it forwards on after it has said that it is leaving.
+    grace_s : float
+        Time from the order to stop until the process is killed.
     link_bits_per_s : float
         Rate of the instance's link.
     flow_limit_count : int
@@ -65,7 +71,7 @@
     datagrams: str
     registry: str
     seeds: tuple[bytes, ...]
-    leave_notice_s: float
+    grace_s: float
     link_bits_per_s: float
     flow_limit_count: int = 100_000
 
@@ -150,7 +156,7 @@
         log.info("leaving", flows=len(self.forwarder.loads))
         self.readiness.stopping = True
         self._check_ready()
-        await asyncio.sleep(self._settings.leave_notice_s)
+        await asyncio.sleep(min(_NOTICE_S, _GRACE_RATIO * self._settings.grace_s))
 
     # -- control ------------------------------------------------------------------
 
--- a/tests/control/test_routing_control.py
+++ b/tests/control/test_routing_control.py
@@ -54,9 +54,10 @@
                 seeds=self.seeds,
                 is_first_start=is_first_start,
                 report_interval_s=0.3,
-                voter_count=3,
-                control=ControlSettings(
-                    str(self.folder / str(number)),
+                losses_borne=1,
+                data_dir=str(self.folder / str(number)),
+                timing=ControlSettings(
+                    "",
                     heartbeat_interval_s=0.05,
                     election_timeout_s=0.3,
                     snapshot_entry_count=10,
