--- /dev/null
+++ b/tests/platform/test_daemon.py
@@ -0,0 +1,76 @@
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests.fakes import free_port
+from tests.platform.test_settings import TEXT
+
+ROOT = Path(__file__).parents[2]
+LIMIT_S = 20
+
+
+def start(settings_path):
+    """Start an entry process as the platform does."""
+    path = os.pathsep.join((str(ROOT / "platform"), str(ROOT / "src")))
+    environment = os.environ | {
+        "AGATETHREAD_SETTINGS": str(settings_path),
+        "PYTHONPATH": path,
+    }
+    command = [sys.executable, "-m", "agatethread_platform", "entry"]
+    return subprocess.Popen(
+        command,
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+
+
+class TestDaemon(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "settings.conf"
+        host = "127.0.2.1"
+        text = TEXT.replace("10.1.0.10", host).replace("7720,7735", f"{free_port()},9")
+        for port in ("8172", "8167"):
+            text = text.replace(f"{host}:{port}", f"{host}:{free_port()}")
+        self.path.write_text(text)
+
+    def start(self):
+        process = start(self.path)
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def read_until(self, process, event):
+        """Read log lines until one holds an event."""
+        for line in process.stdout:
+            if event in line:
+                return line
+        raise AssertionError(f"ended without {event!r}")
+
+    def test_survives_signals_and_bad_settings_and_stops_cleanly(self):
+        """SIGHUP and unreadable settings leave it up; SIGTERM ends it with 0."""
+        process = self.start()
+        self.read_until(process, '"started"')
+        process.send_signal(signal.SIGHUP)
+        self.path.write_text("nonsense")
+        process.send_signal(signal.SIGHUP)
+        self.read_until(process, "changed settings are wrong")
+        process.send_signal(signal.SIGTERM)
+        self.read_until(process, '"stopped"')
+        self.assertEqual(process.wait(LIMIT_S), 0)
+
+    def test_wrong_settings_end_it_with_the_faults(self):
+        """Settings that are wrong from the start are named, and the exit code is 2."""
+        self.path.write_text("zone=a")
+        process = self.start()
+        output, _ = process.communicate(timeout=LIMIT_S)
+        self.assertEqual(process.returncode, 2)
+        self.assertIn("node_name", output)
