--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -13,7 +13,7 @@
 from agatethread.datapath._packets import Address, FlowKey, Packet, PacketCodec
 from agatethread.datapath._placing import choose_backend, choose_service
 from agatethread.observability import Counters, make_logger
-from agatethread.routing import NO_ROUTES, RouteTable
+from agatethread.routing import NO_ROUTES, Route, RouteTable
 
 log = make_logger("forwarder")
 
@@ -37,6 +37,8 @@
         Counts packets by what was done with them.
     flow_limit_count : int
         Most flows whose load is counted.
+    knows_all : callable
+        Tells whether every backend server that reports is known here.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         now_s: Callable[[], float],
         counters: Counters,
         flow_limit_count: int,
+        knows_all: Callable[[], bool],
     ):
         self._codec = codec
         self._view = view
@@ -55,6 +58,7 @@
         self._send = send
         self._now_s = now_s
         self._counters = counters
+        self._knows_all = knows_all
         self.loads = FlowLoads(flow_limit_count)
         self.table: RouteTable = NO_ROUTES
 
@@ -107,20 +111,13 @@
             return
 
         now_s = self._now_s()
-        flow = self.loads.find(packet.key)
-        tried: tuple[Backend, ...] = ()
-        service = ""
-        if flow is not None and flow.backend.service in route.services:
-            service = flow.backend.service
-            tried = (*flow.tried, flow.backend)
-            if packet.copy:
-                flow.backend.fail(flow.waits_since_s, now_s)
+        service, tried = self._judge_earlier(packet, route, now_s)
         service = service or choose_service(route.targets, random.random)
         backend = choose_backend(
             self._view.of_service(service), self._failure_domain, now_s, tried
         )
         if backend is None:
-            if len(self._view):
+            if self._knows_all():
                 self._reset(packet, "no_backend")
             else:
                 self._drop(packet, "no_backend_known")
@@ -133,6 +130,23 @@
         if packet.copy:
             self._counters["openings_again"] += 1
 
+    def _judge_earlier(
+        self, packet: Packet, route: Route, now_s: float
+    ) -> tuple[str, tuple[Backend, ...]]:
+        """Return the service and the runs that the same opening went to before.
+
+        A first opening from a port that was used before is another flow, and the route
+        may have moved since.
+        """
+        flow = self.loads.find(packet.key)
+        if flow is None or not packet.copy:
+            return "", ()
+        flow.backend.fail(flow.waits_since_s, now_s)
+        service = flow.backend.service
+        if all(target.service != service for target in route.targets):
+            return "", ()
+        return service, (*flow.tried, flow.backend)
+
     def _log_placed(
         self,
         packet: Packet,
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -115,6 +115,7 @@
             now_s,
             counters,
             settings.flow_limit_count,
+            lambda: self.subscription.is_complete(),
         )
         self._transport = RegistryTransport(settings.registry, counters)
         self.subscription = Subscription(
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -173,8 +173,7 @@
             self._knock_at_home(followed)
 
     def _choose(self, live: list[HubLink]) -> list[HubLink]:
-        # Sorted by what they bring first: the newest that was heard is no criterion,
-        # or every instance would change its links at each poll.
+        # When one was heard last is no criterion, or links would change at each poll.
         ranked = sorted(live, key=self._rank)
         first = ranked[:1]
         others = [link for link in ranked[1:] if not self._shares_domain(link, first)]
--- a/tests/datapath/test_forwarder.py
+++ b/tests/datapath/test_forwarder.py
@@ -19,6 +19,7 @@
         self.counters = Counters()
         self.view = BackendView(self.clock, self.counters)
         self.sent = []
+        self.knows_all = True
         self.forwarder = self.make_forwarder()
         self.forwarder.take_table(table())
 
@@ -31,6 +32,7 @@
             self.clock,
             self.counters,
             flow_limit_count=1_000,
+            knows_all=lambda: self.knows_all,
         )
 
     def handle(self, one):
@@ -56,6 +58,7 @@
 
     def test_nothing_is_said_without_knowledge(self):
         """What is not known is dropped in silence: the caller sends it again."""
+        self.knows_all = False
         self.assertEqual(self.handle(opening()), [])
         self.assertEqual(self.handle(packet(number=5)), [])
         self.view.take(run(1))
@@ -89,6 +92,23 @@
         self.view.take(run(1, draining=True))
         self.assertEqual(self.handle(opening()), [("reset", 1)])
 
+    def test_nothing_is_refused_before_all_is_known(self):
+        """A service whose runs may not have been told of yet is not refused."""
+        self.knows_all = False
+        self.view.take(run(1, service="archive"))
+        self.assertEqual(self.handle(opening()), [])
+        self.knows_all = True
+        self.assertEqual(self.handle(opening()), [("reset", 1)])
+
+    def test_port_that_is_used_again_is_another_flow(self):
+        """A new flow from an old port follows the table of now, not of then."""
+        self.view.take(run(1))
+        self.view.take(run(2, service="archive"))
+        self.handle(opening())
+        self.forwarder.take_table(table(2, "archive", earlier=("tab",)))
+        self.assertEqual(self.handle(opening(copy=1)), [("forward", 2)])
+        self.assertEqual(self.handle(opening()), [("forward", 2)])
+
     def test_label_of_another_service_is_dropped(self):
         """A packet never reaches a service that its route does not lead to."""
         self.view.take(run(1, service="archive"))
