--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -1,7 +1,7 @@
 """The receiving side of the registry: polls to control instances, and what they bring.
 
-An entry instance follows two control instances, one of its own failure domain and one
-of another, so that neither the death of one nor a cut keeps a drain from it. A control
+An entry instance follows three control instances, one of its own failure domain and two
+of others, so that neither the death of one nor a cut keeps a drain from it. A control
 instance follows all the others.
 """
 
@@ -20,8 +20,9 @@
     RoutingTable,
 )
 
-#: Control instances that an entry instance follows.
-_FOLLOWED_COUNT = 2
+#: Control instances that an entry instance follows. When up to five of them are split,
+#: at most two are on the side without a majority, so one of three knows what is new.
+_FOLLOWED_COUNT = 3
 #: A followed hub that has not answered for so long is replaced: two polls and a
 #: resend, short beside the seconds in which a change must be in force.
 _HUB_LEASE_S = 1.0
--- a/tests/registry/test_spreading.py
+++ b/tests/registry/test_spreading.py
@@ -201,7 +201,7 @@
         self.assertTrue(world.entry.is_reporting("i-never-heard-of"))
 
     def test_follows_its_own_failure_domain_and_another(self):
-        """Two control instances are followed, in two failure domains."""
+        """The first that is followed is its own domain's, the next another's."""
         world = World(("b", "a", "a", "c"))
         world.step(20)
         followed = world.entry._choose(world.entry.live())
@@ -209,6 +209,15 @@
         self.assertEqual(domains[0], "a")
         self.assertNotEqual(domains[1], "a")
 
+    def test_news_of_the_majority_arrives_through_a_split(self):
+        """With two of five control instances left behind, their followers hear all."""
+        world = World(("a", "b", "c", "d", "e"))
+        world.step(40)
+        for number in (2, 3, 4):
+            world.hub(number).offer_routes(compressed_table(9))
+        world.step(10)
+        self.assertEqual([table.version for table in world.tables], [9])
+
     def test_table_in_parts_arrives_whole_and_never_goes_back(self):
         """A large table arrives in spite of losses, and an older one is passed over."""
         world = World()
