--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -57,7 +57,16 @@
 
 
 def free_port() -> int:
-    """A port that was free a moment ago."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that was free a moment ago, for datagrams and for connections."""
+    while True:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as connections,
+        ):
+            datagrams.bind(("", 0))
+            port = datagrams.getsockname()[1]
+            try:
+                connections.bind(("", port))
+            except OSError:
+                continue
+            return port
