--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -68,6 +68,8 @@
 #: A read that can't be confirmed by then is refused; its sender waits for a second.
 _READ_LIMIT_S = 0.8
 _REOPEN_S = 0.5
+#: Without a leader's heartbeat for so long a new table may exist that is not known here.
+_LED_S = 1.0
 #: Module that is loaded only when the rest serves already.
 _LOG_PORT_MODULE = "agatethread.control._log_port"
 
@@ -113,6 +115,7 @@
             self._transport.send,
             now_s,
             self._is_settled,
+            self._hears_leader,
         )
         self.subscription = Subscription(
             settings.failure_domain,
@@ -388,6 +391,9 @@
             return True
         return self.subscription.is_complete()
 
+    def _hears_leader(self) -> bool:
+        return self.node is not None and self.node.heard_leader_ago_s < _LED_S
+
     def _on_message(self, message: RegistryMessage, source: bytes) -> None:
         body = message.WhichOneof("body")
         if body == "poll":
--- a/src/agatethread/datapath/__init__.py
+++ b/src/agatethread/datapath/__init__.py
@@ -4,6 +4,7 @@
 from agatethread.datapath._flows import FlowLoads
 from agatethread.datapath._forwarder import LabelForwarder
 from agatethread.datapath._instance import LabelEntryInstance, LabelEntrySettings
+from agatethread.datapath._leaving import Departure
 from agatethread.datapath._packets import FlowKey, Packet, PacketCodec
 from agatethread.datapath._placing import choose_backend
 from agatethread.datapath._readiness import Readiness
@@ -11,6 +12,7 @@
 __all__ = [
     "Backend",
     "BackendView",
+    "Departure",
     "FlowKey",
     "FlowLoads",
     "LabelEntryInstance",
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -8,6 +8,7 @@
 
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._forwarder import LabelForwarder
+from agatethread.datapath._leaving import Departure
 from agatethread.datapath._pacing import PacedSender
 from agatethread.datapath._packets import PacketCodec
 from agatethread.datapath._readiness import Readiness
@@ -24,7 +25,13 @@
 )
 from agatethread.timing import TimerService
 from agatethread.wire import pack_address
-from agatethread.wire.registry_pb2 import RegistryMessage, RoutingTable
+from agatethread.wire.registry_pb2 import (
+    PRESENCE_AWAY,
+    PRESENCE_LEAVING,
+    PRESENCE_SERVING,
+    RegistryMessage,
+    RoutingTable,
+)
 
 #: Two polls fit into the time after which a silent control instance is given up.
 _POLL_INTERVAL_S = 0.4
@@ -32,12 +39,10 @@
 _URGENT_INTERVAL_S = 0.05
 _SWEEP_INTERVAL_S = 1.0
 _CHECK_INTERVAL_S = 0.1
-
-#: Routers ask each half second, and send elsewhere after two misses. A longer notice
-#: would leave more instances out at a time when they restart in turn.
-_NOTICE_S = 1.2
-#: Share of the time until it is killed that the notice may take at most.
-_GRACE_RATIO = 0.6
+#: Pause between two questions of a stopping instance whether it may leave.
+_ASK_INTERVAL_S = 0.1
+#: Routers ask each half second, so they send packets at the latest by then.
+_ROTATION_S = 0.6
 
 log = make_logger("entry")
 
@@ -129,7 +134,9 @@
             self._on_routes,
             counters,
         )
+        self.subscription.presence = PRESENCE_AWAY
         self._heard_control_s = 0.0
+        self._ready_since_s = float("inf")
         self.is_ready = False
 
     async def on_start(self) -> None:
@@ -153,11 +160,24 @@
         self._transport.close()
 
     async def leave(self) -> None:
-        """Ask for no more packets, and forward those that still come."""
-        log.info("leaving", flows=len(self.forwarder.loads))
+        """Wait for a turn, ask for no more packets, forward those that still come."""
+        departure = Departure(self.timers.now_s, self._settings.grace_s)
+        waited_s = await self._wait_for_turn(departure)
+        log.info(
+            "leaving", flows=len(self.forwarder.loads), waited_s=round(waited_s, 3)
+        )
         self.readiness.stopping = True
         self._check_ready()
-        await asyncio.sleep(min(_NOTICE_S, _GRACE_RATIO * self._settings.grace_s))
+        self.subscription.poll()
+        await asyncio.sleep(departure.notice_s)
+
+    async def _wait_for_turn(self, departure: Departure) -> float:
+        self.subscription.presence = PRESENCE_LEAVING
+        self.subscription.poll()
+        while not departure.may_go(self.subscription.domain_view(departure.asked_s)):
+            await asyncio.sleep(_ASK_INTERVAL_S)
+            self.subscription.poll()
+        return self.timers.now_s() - departure.asked_s
 
     # -- control ------------------------------------------------------------------
 
@@ -192,7 +212,15 @@
                 backends=len(self.view),
                 controls=len(self.subscription.live()),
             )
+            self._ready_since_s = self.timers.now_s() if ready else float("inf")
         self.is_ready = ready
+        self._note_presence()
+
+    def _note_presence(self) -> None:
+        if self.subscription.presence == PRESENCE_LEAVING and self.is_ready:
+            return
+        in_use = self.timers.now_s() - self._ready_since_s >= _ROTATION_S
+        self.subscription.presence = PRESENCE_SERVING if in_use else PRESENCE_AWAY
 
     # -- state --------------------------------------------------------------------
 
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -5,8 +5,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from agatethread.registry._presence import count_domain
 from agatethread.registry._runs import RunTable
 from agatethread.wire.registry_pb2 import (
+    PRESENCE_UNKNOWN,
     BackendRun,
     ControlNode,
     Delta,
@@ -44,6 +46,7 @@
         "failure_domain",
         "heard_s",
         "is_control",
+        "presence",
         "routes_sent_s",
         "routes_version",
         "seen_index",
@@ -54,6 +57,7 @@
     def __init__(self) -> None:
         self.failure_domain = ""
         self.is_control = False
+        self.presence = PRESENCE_UNKNOWN
         self.heard_s = 0.0
         self.seen_index = 0
         self.sent_index = 0
@@ -77,6 +81,8 @@
         Monotonic clock.
     is_settled : callable
         Tells whether this instance knows every backend server that reports.
+    hears_leader : callable
+        Tells whether this instance learns of each agreed routing table.
     """
 
     def __init__(
@@ -86,12 +92,14 @@
         send: Send,
         now_s: Callable[[], float],
         is_settled: Callable[[], bool],
+        hears_leader: Callable[[], bool],
     ):
         self._runs = runs
         self._failure_domain = failure_domain
         self._send = send
         self._now_s = now_s
         self._is_settled = is_settled
+        self._hears_leader = hears_leader
         self._incarnation = secrets.randbits(63) | 1
         self._subscribers: dict[bytes, _Subscriber] = {}
         self._waiting: list[tuple[int, asyncio.Future[None]]] = []
@@ -141,6 +149,7 @@
         subscriber.seen_index = poll.seen_index if is_same_run else 0
         subscriber.failure_domain = poll.failure_domain
         subscriber.is_control = poll.is_control
+        subscriber.presence = poll.presence
         subscriber.routes_version = poll.routes_version
         subscriber.heard_s = self._now_s()
         if poll.wants_reply:
@@ -175,13 +184,20 @@
             messages = [self._delta(after, [], after)]
             messages[-1].complete = True
         if is_reply:
-            messages[-1].controls.extend(self.controls())
+            self._add_reply(messages[-1], subscriber, address)
         for delta in messages:
             self._send(RegistryMessage(delta=delta), address)
         if messages[-1].through_index > after:
             subscriber.sent_index = messages[-1].through_index
             subscriber.sent_s = now_s
 
+    def _add_reply(self, delta: Delta, subscriber: _Subscriber, address: bytes) -> None:
+        delta.controls.extend(self.controls())
+        delta.hub.hears_leader = self._hears_leader()
+        if subscriber.presence != PRESENCE_UNKNOWN:
+            counts = count_domain(self._subscribers, address, self._now_s())
+            delta.hub.domain.CopyFrom(counts)
+
     def _deltas_after(self, after: int, with_reports: bool) -> list[Delta]:
         messages: list[Delta] = []
         runs: list[BackendRun] = []
--- /dev/null
+++ b/src/agatethread/registry/_presence.py
@@ -0,0 +1,102 @@
+"""Which entry instances of a failure domain serve, as a control instance hears them."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from agatethread.wire.registry_pb2 import (
+    PRESENCE_LEAVING,
+    PRESENCE_SERVING,
+    PRESENCE_UNKNOWN,
+    DomainCounts,
+    Presence,
+)
+
+#: A serving instance polls each 0.4 s; one silent for five polls is not serving.
+_SILENT_S = 2.0
+
+
+class Subscriber(Protocol):
+    """What is looked at of one that polls."""
+
+    failure_domain: str
+    heard_s: float
+    presence: Presence
+
+
+@dataclass(frozen=True, slots=True)
+class DomainView:
+    """The other entry instances of one's own failure domain.
+
+    Attributes
+    ----------
+    others : int
+        All of them.
+    away : int
+        Those that do not serve.
+    ahead : int
+        Those that wait to leave and go first.
+    """
+
+    others: int
+    away: int
+    ahead: int
+
+
+def count_domain(
+    subscribers: Mapping[bytes, Subscriber], address: bytes, now_s: float
+) -> DomainCounts:
+    """Count the other entry instances of a subscriber's failure domain.
+
+    Parameters
+    ----------
+    subscribers : mapping of bytes to Subscriber
+        All subscribers by their packed addresses.
+    address : bytes
+        The subscriber that asks.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    DomainCounts
+        Without the subscriber itself.
+    """
+    domain = subscribers[address].failure_domain
+    counts = DomainCounts()
+    for other_address, other in subscribers.items():
+        if other_address == address or other.failure_domain != domain:
+            continue
+        if other.presence == PRESENCE_UNKNOWN:
+            continue
+        counts.others += 1
+        if now_s - other.heard_s > _SILENT_S:
+            counts.away += 1
+        elif other.presence == PRESENCE_LEAVING:
+            counts.ahead += other_address < address
+        elif other.presence != PRESENCE_SERVING:
+            counts.away += 1
+    return counts
+
+
+def merge_counts(told: Iterable[DomainCounts]) -> DomainView | None:
+    """Merge what several control instances say; the most cautious figure is taken.
+
+    Parameters
+    ----------
+    told : iterable of DomainCounts
+        One from each.
+
+    Returns
+    -------
+    DomainView or None
+        None if nobody said anything.
+    """
+    counts = list(told)
+    if not counts:
+        return None
+    return DomainView(
+        others=max(one.others for one in counts),
+        away=max(one.away for one in counts),
+        ahead=max(one.ahead for one in counts),
+    )
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -1,8 +1,9 @@
 """The receiving side of the registry: polls to control instances, and what they bring.
 
 An entry instance follows three control instances, one of its own failure domain and two
-of others, so that neither the death of one nor a cut keeps a drain from it. A control
-instance follows all the others.
+of others, so that neither the death of one nor a cut keeps a drain from it. Those that
+hear a leader go first among the others: only they learn of a new routing table. A
+control instance follows all the others.
 """
 
 import random
@@ -11,17 +12,21 @@
 from dataclasses import dataclass, field
 
 from agatethread.observability import Counters, make_logger
+from agatethread.registry._presence import DomainView, merge_counts
 from agatethread.wire.registry_pb2 import (
+    PRESENCE_UNKNOWN,
     BackendRun,
     Delta,
+    DomainCounts,
+    HubState,
     Poll,
+    Presence,
     RegistryMessage,
     RoutesChunk,
     RoutingTable,
 )
 
-#: Control instances that an entry instance follows. When up to five of them are split,
-#: at most two are on the side without a majority, so one of three knows what is new.
+#: Control instances that an entry instance follows: the loss of two is borne.
 _FOLLOWED_COUNT = 3
 #: A followed hub that has not answered for so long is replaced: two polls and a
 #: resend, short beside the seconds in which a change must be in force.
@@ -48,6 +53,11 @@
     knocked_s: float = float("-inf")
     #: Whether it says that it knows every backend server that reports.
     settled: bool = False
+    #: Whether it hears a leader.
+    hears_leader: bool = False
+    #: What it said of this instance's failure domain, and when.
+    domain: DomainCounts | None = None
+    domain_told_s: float = float("-inf")
     #: Whether all that it knew has arrived here once.
     complete: bool = False
     #: Ids of the runs that it holds for alive.
@@ -122,6 +132,8 @@
         self._on_routes = on_routes
         self._counters = counters
         self._arriving: _ChunkedTable | None = None
+        #: What polls say of this process, where it is an entry instance.
+        self.presence: Presence = PRESENCE_UNKNOWN
         self.routes_version = 0
         self.links: dict[bytes, HubLink] = {}
         for seed in seeds:
@@ -168,7 +180,7 @@
         followed = live if self._is_control else self._choose(live)
         for link in followed:
             self._send_poll(link, wants_reply=True)
-        if self._is_control or len(followed) < _FOLLOWED_COUNT:
+        if self._is_control or not self._is_enough(followed):
             self._knock(followed)
         else:
             self._knock_at_home(followed)
@@ -178,7 +190,14 @@
         ranked = sorted(live, key=self._rank)
         first = ranked[:1]
         others = [link for link in ranked[1:] if not self._shares_domain(link, first)]
-        return first + (others or ranked[1:])[: _FOLLOWED_COUNT - 1]
+        others = sorted(others or ranked[1:], key=lambda link: not link.hears_leader)
+        return first + others[: _FOLLOWED_COUNT - 1]
+
+    @staticmethod
+    def _is_enough(followed: list[HubLink]) -> bool:
+        # Without a leader in sight, another control instance may hear one.
+        has_leader = any(link.hears_leader for link in followed)
+        return has_leader and len(followed) >= _FOLLOWED_COUNT
 
     def _rank(self, link: HubLink) -> tuple[bool, bool, bytes]:
         is_away = link.failure_domain != self._failure_domain
@@ -223,6 +242,7 @@
             failure_domain=self._failure_domain,
             is_control=self._is_control,
             wants_reply=wants_reply,
+            presence=self.presence,
         )
         self._send(RegistryMessage(poll=poll), link.address)
 
@@ -245,6 +265,8 @@
         self._note_heard(link, delta)
         for control in delta.controls:
             self.meet(control.address, control.failure_domain)
+        if delta.HasField("hub"):
+            self._note_hub(link, delta.hub)
         if delta.after_index > link.seen_index:
             # Something before it was lost; it comes again.
             self._counters["registry_gap"] += 1
@@ -272,6 +294,12 @@
         link.settled = delta.settled
         link.failure_domain = delta.failure_domain
 
+    def _note_hub(self, link: HubLink, state: HubState) -> None:
+        link.hears_leader = state.hears_leader
+        if state.HasField("domain"):
+            link.domain = state.domain
+            link.domain_told_s = self._now_s()
+
     def _take_run(self, link: HubLink, run: BackendRun) -> None:
         if run.ended or run.silent:
             link.reporting.discard(run.id)
@@ -322,6 +350,22 @@
         """
         return any(link.settled and link.complete for link in self.live())
 
+    def domain_view(self, since_s: float) -> DomainView | None:
+        """Tell who else serves in this process's failure domain.
+
+        Parameters
+        ----------
+        since_s : float
+            What was told before that is not used.
+
+        Returns
+        -------
+        DomainView or None
+            None if nobody has told it since.
+        """
+        links = [link for link in self.links.values() if link.domain_told_s >= since_s]
+        return merge_counts(link.domain for link in links)
+
     def is_reporting(self, run_id: str) -> bool:
         """Tell whether a run may be alive, as far as those in sight know.
 
--- /dev/null
+++ b/tests/datapath/test_leaving.py
@@ -0,0 +1,141 @@
+import unittest
+
+from agatethread.datapath import Departure
+from agatethread.observability import Counters
+from agatethread.registry import DomainView, RegistryHub, RunTable, Subscription
+from agatethread.wire.registry_pb2 import (
+    PRESENCE_AWAY,
+    PRESENCE_LEAVING,
+    PRESENCE_SERVING,
+)
+from tests.fakes import Clock, address
+
+#: As on the platform: from the end of a process until the next one is up, and from
+#: then until routers send to it again.
+DOWN_S, ROTATION_S = 0.85, 0.6
+GRACE_S = 6.0
+
+
+class TestDeparture(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.departure = Departure(self.clock, GRACE_S)
+
+    def test_goes_at_once_when_the_others_serve(self):
+        """With all others serving there is nothing to wait for."""
+        self.assertTrue(self.departure.may_go(DomainView(2, 0, 0)))
+
+    def test_waits_for_one_that_is_away(self):
+        """One of three is away already, so this one waits."""
+        self.assertFalse(self.departure.may_go(DomainView(2, 1, 0)))
+        self.assertFalse(self.departure.may_go(DomainView(2, 0, 1)))
+
+    def test_large_domains_spare_more(self):
+        """A quarter of many may be away at a time."""
+        self.assertTrue(self.departure.may_go(DomainView(23, 5, 0)))
+        self.assertFalse(self.departure.may_go(DomainView(23, 6, 0)))
+
+    def test_never_waits_until_it_is_killed(self):
+        """It goes in time for its notice, whoever is away."""
+        self.clock.value_s += GRACE_S - 1.2 - 0.8
+        self.assertTrue(self.departure.may_go(DomainView(2, 2, 0)))
+
+    def test_goes_when_nobody_can_be_asked(self):
+        """Without control instances it does not wait for an answer for long."""
+        self.assertFalse(self.departure.may_go(None))
+        self.clock.value_s += 0.35
+        self.assertTrue(self.departure.may_go(None))
+
+
+class Entry:
+    """An entry instance that restarts once, with the real parts that decide when."""
+
+    def __init__(self, world, number, stop_s):
+        self.world, self.number, self.stop_s = world, number, stop_s
+        self.address = address(number)
+        self.departure = None
+        self.leaves_s = self.ends_s = self.up_s = float("inf")
+        self.restart()
+
+    def restart(self):
+        world = self.world
+        self.subscription = Subscription(
+            "a",
+            False,
+            [address(90)],
+            self.address,
+            lambda message, _: world.hub.on_poll(message.poll, self.address),
+            world.clock,
+            lambda _: None,
+            lambda _: None,
+            Counters(),
+        )
+        self.subscription.presence = PRESENCE_SERVING
+
+    @property
+    def is_down(self):
+        return self.ends_s <= self.world.clock() < self.up_s
+
+    @property
+    def in_rotation(self):
+        now_s = self.world.clock()
+        return now_s < self.leaves_s + 0.5 or now_s >= self.up_s + ROTATION_S
+
+    def step(self):
+        now_s = self.world.clock()
+        if self.is_down:
+            return
+        if self.ends_s <= now_s and self.departure is not None:
+            self.departure = None
+            self.restart()
+        if self.departure is None and now_s >= self.stop_s and now_s < self.ends_s:
+            self.departure = Departure(self.world.clock, GRACE_S)
+        if self.departure is not None and now_s < self.leaves_s:
+            self.subscription.presence = PRESENCE_LEAVING
+            self.subscription.poll()
+            view = self.subscription.domain_view(self.departure.asked_s)
+            if self.departure.may_go(view):
+                self.leaves_s = now_s
+                self.ends_s = now_s + self.departure.notice_s
+                self.up_s = self.ends_s + DOWN_S
+        if now_s >= self.leaves_s:
+            serves = now_s >= self.up_s + ROTATION_S
+            self.subscription.presence = PRESENCE_SERVING if serves else PRESENCE_AWAY
+        self.subscription.poll()
+
+
+class TestRollingRestart(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock(0.0)
+        self.entries = {}
+        self.hub = RegistryHub(
+            RunTable(1.0, self.clock),
+            "a",
+            self.answer,
+            self.clock,
+            lambda: True,
+            lambda: True,
+        )
+
+    def answer(self, message, target):
+        entry = self.entries.get(target)
+        if entry is not None and not entry.is_down:
+            entry.subscription.on_delta(message.delta, address(90))
+
+    def test_no_packet_goes_to_an_ended_process(self):
+        """Three instances told to stop 1.2 s apart: routers always have two to use."""
+        for number in range(3):
+            entry = Entry(self, number, 3.0 + 1.2 * number)
+            self.entries[entry.address] = entry
+        bad = 0
+        while self.clock.value_s < 15:
+            self.clock.value_s += 0.05
+            for entry in self.entries.values():
+                entry.step()
+            rotation = sum(entry.in_rotation for entry in self.entries.values())
+            down = any(entry.is_down for entry in self.entries.values())
+            bad += rotation < 1.5 and down
+        self.assertEqual(bad, 0)
+        for entry in self.entries.values():
+            self.assertLess(entry.ends_s - entry.stop_s, GRACE_S)
+            self.assertLess(entry.up_s, 14)
--- a/tests/registry/test_spreading.py
+++ b/tests/registry/test_spreading.py
@@ -36,6 +36,7 @@
         self.random = random.Random(seed)
         self.loss = 0.0
         self.cut = set()
+        self.leaderless = set()
         self.sent_bytes = 0
         self.queue = []
         self.runs, self.tables = [], []
@@ -60,7 +61,14 @@
         """Start a control instance, empty."""
         place = address(number)
         table = RunTable(INTERVAL_S, self.clock)
-        hub = RegistryHub(table, domain, self.sender(place), self.clock, lambda: True)
+        hub = RegistryHub(
+            table,
+            domain,
+            self.sender(place),
+            self.clock,
+            lambda: True,
+            lambda: place not in self.leaderless,
+        )
         link = Subscription(
             domain,
             True,
@@ -218,6 +226,19 @@
         world.step(10)
         self.assertEqual([table.version for table in world.tables], [9])
 
+    def test_follows_one_that_hears_a_leader(self):
+        """Of six, split unevenly, it finds one on the side where tables are agreed."""
+        world = World(("a", "b", "b", "c", "c", "a"))
+        world.step(15)
+        followed = [link.address for link in world.entry._choose(world.entry.live())]
+        world.leaderless = set(followed)
+        world.step(15)
+        for place, (_, hub) in world.hubs.items():
+            if place not in world.leaderless:
+                hub.offer_routes(compressed_table(9))
+        world.step(15)
+        self.assertEqual(world.entry.routes_version, 9)
+
     def test_table_in_parts_arrives_whole_and_never_goes_back(self):
         """A large table arrives in spite of losses, and an older one is passed over."""
         world = World()
