--- a/src/agatethread/control/_storage.py
+++ b/src/agatethread/control/_storage.py
@@ -351,7 +351,7 @@
         aside = self._folder / _DAMAGED
         try:
             aside.mkdir(exist_ok=True)
-            # Hard state first: without it, whatever is left is not taken for a member's.
+            # Hard state first: without it, what is left is not taken for a member's.
             for name in (_HARD_STATE, _SNAPSHOT, _LOG, _COMMIT):
                 path = self._folder / name
                 if path.exists():
