--- a/src/agatethread/control/_state.py
+++ b/src/agatethread/control/_state.py
@@ -6,7 +6,6 @@
 
 from agatethread.exceptions import DocumentError
 from agatethread.routing import keep_earlier_services
-from agatethread.settings import parse_document
 from agatethread.wire.control_pb2 import (
     Command,
     ControlState,
@@ -201,6 +200,9 @@
 
     put = command.put_document
     try:
+        # Imported here: a process that keeps a routing table starts sooner without it.
+        from agatethread.settings import parse_document
+
         document = parse_document(put.service, put.text.decode())
     except DocumentError as error:
         return "; ".join(str(fault) for fault in error.exceptions)
--- a/src/agatethread/settings/__init__.py
+++ b/src/agatethread/settings/__init__.py
@@ -1,9 +1,9 @@
 """Checked settings and service documents, read from JSON with comments."""
 
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
 from agatethread.settings._addresses import format_address, parse_address
-from agatethread.settings._checking import structure_checked
-from agatethread.settings._document import ServiceDocument, parse_document
-from agatethread.settings._loading import load_settings, parse_settings
 from agatethread.settings._model import (
     ControlSettings,
     EntrySettings,
@@ -12,6 +12,21 @@
     TlsSettings,
 )
 
+if TYPE_CHECKING:
+    from agatethread.settings._checking import structure_checked
+    from agatethread.settings._document import ServiceDocument, parse_document
+    from agatethread.settings._loading import load_settings, parse_settings
+
+#: Names that are imported when they are first used. Their modules load cattrs and
+#: json5, a sixth of the time in which a process starts that reads no such file.
+_LAZY = {
+    "ServiceDocument": "_document",
+    "load_settings": "_loading",
+    "parse_document": "_document",
+    "parse_settings": "_loading",
+    "structure_checked": "_checking",
+}
+
 __all__ = [
     "ControlSettings",
     "EntrySettings",
@@ -26,3 +41,12 @@
     "parse_settings",
     "structure_checked",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    """Import a name when it is first used."""
+    if name not in _LAZY:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    value = getattr(import_module(f"{__name__}.{_LAZY[name]}"), name)
+    globals()[name] = value
+    return value
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -48,6 +48,24 @@
         self.addCleanup(process.kill)
         return process
 
+    def test_starts_without_what_it_uses_later_or_never(self):
+        """What is slow to load is not loaded before the first packet is served."""
+        code = (
+            "import sys, agatethread_platform.daemon, agatethread_platform.entry, "
+            "agatethread_platform.control; "
+            "print(*{'cattrs', 'json5', 'grpc', 'opentelemetry'} & set(sys.modules))"
+        )
+        path = os.pathsep.join((str(ROOT / "platform"), str(ROOT / "src")))
+        found = subprocess.run(
+            [sys.executable, "-c", code],
+            env=os.environ | {"PYTHONPATH": path},
+            capture_output=True,
+            text=True,
+            timeout=LIMIT_S,
+            check=True,
+        )
+        self.assertEqual(found.stdout.split(), [])
+
     def read_until(self, process, event):
         """Read log lines until one holds an event."""
         for line in process.stdout:
