--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -13,7 +13,13 @@
 from agatethread.datapath._packets import Address, FlowKey, Packet, PacketCodec
 from agatethread.datapath._placing import choose_backend, choose_service
 from agatethread.observability import Counters, make_logger
-from agatethread.routing import NO_ROUTES, Route, RouteTable
+from agatethread.routing import (
+    NO_ROUTES,
+    OpenFlowOutcome,
+    Route,
+    RouteTable,
+    judge_open_flow,
+)
 
 log = make_logger("forwarder")
 
@@ -173,18 +179,22 @@
 
     def _on_packet(self, packet: Packet) -> None:
         backend = self._view.find(packet.label)
-        if backend is None:
-            self._drop(packet, "unknown_label")
-            return
+        outcome = judge_open_flow(
+            is_known=backend is not None,
+            is_allowed=backend is not None and self._allows(packet, backend),
+            has_ended=backend is not None and backend.ended,
+        )
+        if outcome is OpenFlowOutcome.FORWARD:
+            self.loads.note(packet, backend, self._now_s())
+            self._forward(packet, backend)
+        elif outcome is OpenFlowOutcome.RESET:
+            self._reset(packet, outcome.value)
+        else:
+            self._drop(packet, outcome.value)
+
+    def _allows(self, packet: Packet, backend: Backend) -> bool:
         route = self.table.routes.get((packet.key.host, packet.key.port))
-        if route is None or backend.service not in route.services:
-            self._drop(packet, "other_service")
-            return
-        if backend.ended:
-            self._reset(packet, "backend_ended")
-            return
-        self.loads.note(packet, backend, self._now_s())
-        self._forward(packet, backend)
+        return route is not None and backend.service in route.services
 
     # -- outcomes -----------------------------------------------------------------
 
--- a/src/agatethread/entry/_forwarding.py
+++ b/src/agatethread/entry/_forwarding.py
@@ -4,7 +4,7 @@
 
 from agatethread.exceptions import SealError
 from agatethread.observability import Counters
-from agatethread.routing import EndpointTable
+from agatethread.routing import EndpointTable, OpenFlowOutcome, judge_open_flow
 from agatethread.wire import (
     Cookie,
     Envelope,
@@ -103,12 +103,18 @@
 
     def _find_route(self, envelope: Envelope, caller: Address) -> Route | None:
         cookie = parse_cookie(self._sealer, envelope.cookie)
-        if cookie.service != service_hash(envelope.service):
-            self._counters["dropped_wrong_service"] += 1
-            return None
-        if self._has_ended(cookie, envelope.service):
+        outcome = judge_open_flow(
+            # The cookie is sealed, so it is proof that the run existed.
+            is_known=True,
+            is_allowed=cookie.service == service_hash(envelope.service),
+            has_ended=self._has_ended(cookie, envelope.service),
+        )
+        if outcome is OpenFlowOutcome.RESET:
             self._reset(envelope, caller)
             return None
+        if outcome is not OpenFlowOutcome.FORWARD:
+            self._counters["dropped_wrong_service"] += 1
+            return None
 
         label = StreamLabel(
             pack_address(caller), cookie.service, cookie.flow_id, cookie.endpoint
@@ -126,7 +132,7 @@
 
     def _has_ended(self, cookie: Cookie, service: str) -> bool:
         # An address that we know nothing of, or only older news, is not judged: the
-        # cookie is proof that the run existed, and the backend server checks too.
+        # backend server checks, too.
         holder = self._endpoints.by_address.get(cookie.endpoint)
         if holder is None or holder.incarnation < cookie.incarnation:
             return False
--- a/src/agatethread/routing/__init__.py
+++ b/src/agatethread/routing/__init__.py
@@ -3,6 +3,7 @@
 from agatethread.routing._choice import choose_for_request, choose_for_stream
 from agatethread.routing._endpoints import Endpoint, EndpointTable, Heard
 from agatethread.routing._flows import FlowTable
+from agatethread.routing._open_flows import OpenFlowOutcome, judge_open_flow
 from agatethread.routing._table import (
     NO_ROUTES,
     Route,
@@ -22,6 +23,7 @@
     "EndpointTable",
     "FlowTable",
     "Heard",
+    "OpenFlowOutcome",
     "Route",
     "RouteRule",
     "RouteTable",
@@ -32,5 +34,6 @@
     "choose_for_stream",
     "decode_table",
     "encode_table",
+    "judge_open_flow",
     "keep_earlier_services",
 ]
