--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,8 @@
 
 fuzz: install
 	$(RUN) -m benchmarks.fuzz_operations --operations 1000000 --seed 2
+	$(RUN) -m benchmarks.fuzz_members --steps 20000 --seed 1
+	$(RUN) -m benchmarks.fuzz_members --steps 20000 --seed 2 --losses 2
 	HYPOTHESIS_PROFILE=long $(RUN) -m unittest tests.control.test_raft tests.operations.test_machine
 
 wire: install
