--- a/src/agatethread/control/_identity.py
+++ b/src/agatethread/control/_identity.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 
 from agatethread.control._storage import LogStorage
-from agatethread.observability import make_logger
+from agatethread.observability import Event, make_logger
 from agatethread.wire.control_pb2 import (
     ControlMember,
     ControlState,
@@ -56,7 +56,7 @@
     if not is_first_start or storage.was_set_aside:
         name = f"{target}#{secrets.token_hex(4)}"
         storage.save_hard_state(HardState(member_name=name))
-        log.warning("empty disk: joining as a new member", name=name)
+        log.warning(Event.EMPTY_DISK, name=name)
         return name
 
     # The members before the name: if only they are written, the next start takes the
@@ -64,5 +64,5 @@
     members = Members(members=founders)
     storage.save_snapshot(ControlState(members=members), [])
     storage.save_hard_state(HardState(member_name=target, may_vote=True))
-    log.info("first start", name=target, founders=len(founders))
+    log.info(Event.FIRST_START, name=target, founders=len(founders))
     return target
--- a/src/agatethread/control/_member_keeper.py
+++ b/src/agatethread/control/_member_keeper.py
@@ -9,7 +9,7 @@
 from agatethread.control._raft import RaftNode
 from agatethread.control._roles import PeerCalls
 from agatethread.exceptions import AgatethreadError, UnavailableError
-from agatethread.observability import make_logger
+from agatethread.observability import Event, make_logger
 from agatethread.wire.control_pb2 import ControlMember, JoinRequest, Members
 
 #: Without a leader for so long it asks to be taken in: longer than an election.
@@ -100,7 +100,7 @@
         try:
             await self._calls[target].join(JoinRequest(member=self._myself))
         except UnavailableError as error:
-            log.debug("not taken in", target=target, error=str(error))
+            log.debug(Event.JOIN_FAILED, target=target, error=str(error))
 
     def manage(self) -> None:
         """Make the next change of the members, if this one leads and one is due."""
@@ -133,7 +133,7 @@
 
     async def _change(self, members: Members) -> None:
         log.info(
-            "members change",
+            Event.MEMBERS_CHANGE,
             voters=[one.name for one in members.members if one.voter],
             learners=[one.name for one in members.members if not one.voter],
             term=self._node.term,
@@ -142,6 +142,6 @@
             change = self._node.propose_members(members)
             await asyncio.wait_for(change, _CHANGE_LIMIT_S)
         except (AgatethreadError, TimeoutError) as error:
-            log.warning("members not changed", why=repr(error))
+            log.warning(Event.MEMBERS_NOT_CHANGED, why=repr(error))
         finally:
             self._is_changing = False
--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -23,7 +23,7 @@
 from agatethread.control._state import DocumentState
 from agatethread.control._storage import LogStorage
 from agatethread.exceptions import DiskFullError, NotLeaderError, UnavailableError
-from agatethread.observability import make_logger
+from agatethread.observability import Event, make_logger
 from agatethread.settings import ControlSettings
 from agatethread.wire.control_pb2 import (
     AppendReply,
@@ -226,7 +226,7 @@
             try:
                 await self._stand()
             except DiskFullError as error:
-                log.error("can't stand for election: disk", error=str(error))
+                log.error(Event.CANT_STAND, error=str(error))
                 self._disk.pause()
 
     def _check_quorum(self) -> None:
@@ -237,7 +237,7 @@
             if follower.answered_s > oldest_s
         ]
         if not has_majority(self.members, [self.name, *reached]):
-            log.warning("leader lost its quorum", term=self.term)
+            log.warning(Event.QUORUM_LOST, term=self.term)
             self._become_follower("")
 
     async def _stand(self) -> None:
@@ -298,13 +298,13 @@
 
     def _become_follower(self, leader: str) -> None:
         if self.role is Role.LEADER:
-            log.info("no longer leader", term=self.term, leader=leader)
+            log.info(Event.LEADER_NO_MORE, term=self.term, leader=leader)
             self._fail_waiting()
         self.role = Role.FOLLOWER
         self.leader = leader
 
     def _become_leader(self) -> None:
-        log.info("leader", term=self.term, last_index=self.last_index)
+        log.info(Event.LEADER, term=self.term, last_index=self.last_index)
         self.role = Role.LEADER
         self.leader = self.name
         self._disk.succeed()
@@ -385,7 +385,7 @@
             except UnavailableError:
                 more = False
             except DiskFullError as error:
-                log.error("could not take a newer term: disk", error=str(error))
+                log.error(Event.TERM_NOT_TAKEN, error=str(error))
                 more = False
             if more:
                 continue
@@ -556,10 +556,10 @@
         try:
             self._storage.save_commit(index)
         except DiskFullError as error:
-            log.warning("commit index not saved: disk", error=str(error))
+            log.warning(Event.COMMIT_NOT_SAVED, error=str(error))
         self._tell_listeners()
         if self.role is Role.LEADER and not self.is_voter:
-            log.info("leader is no voter any more", term=self.term)
+            log.info(Event.LEADER_NO_VOTER, term=self.term)
             self._become_follower("")
 
     def _answer_waiting(self, entry: LogEntry, outcome: Outcome) -> None:
@@ -586,7 +586,7 @@
         try:
             self._log.compact(self.documents.snapshot())
         except DiskFullError as error:
-            log.error("log not compacted: disk", error=str(error))
+            log.error(Event.LOG_NOT_COMPACTED, error=str(error))
 
     def _tell_listeners(self) -> None:
         for listener in self._listeners:
@@ -678,7 +678,7 @@
 
     def _note_write_failure(self) -> None:
         if self._disk.fail():
-            log.error("leader can't write: another one should lead", term=self.term)
+            log.error(Event.LEADER_CANT_WRITE, term=self.term)
             self._become_follower("")
 
     def _wake_all(self) -> None:
--- a/src/agatethread/control/_replication.py
+++ b/src/agatethread/control/_replication.py
@@ -6,7 +6,7 @@
 
 from agatethread.control._raft import RaftNode
 from agatethread.exceptions import DiskFullError
-from agatethread.observability import make_logger
+from agatethread.observability import Event, make_logger
 from agatethread.wire import control_pb2_grpc
 from agatethread.wire.control_pb2 import (
     AppendReply,
@@ -47,7 +47,7 @@
         try:
             return handler(request)
         except DiskFullError as error:
-            log.error("call not answered: disk", error=str(error))
+            log.error(Event.LOG_CALL_NOT_ANSWERED, error=str(error))
             await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, str(error))
 
     async def Vote(  # noqa: N802
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -25,7 +25,7 @@
     LogCorruptError,
     UnavailableError,
 )
-from agatethread.observability import Counters, Histogram, Measures, make_logger
+from agatethread.observability import Counters, Event, Histogram, Measures, make_logger
 from agatethread.registry import (
     RegistryHub,
     RegistryTransport,
@@ -151,7 +151,7 @@
         self.timers.subscribe(_MEMBERS_INTERVAL_S, self._manage_members)
         self.subscription.poll()
         self.add_future(self._open_log())
-        log.info("control instance started", instance=self.settings.name)
+        log.info(Event.CONTROL_STARTED, instance=self.settings.name)
 
     async def _open_log(self) -> None:
         while not self.should_stop:
@@ -160,10 +160,10 @@
                 node = self._make_node(storage)
                 break
             except LogCorruptError as error:
-                log.error("log set aside: damaged", error=str(error))
+                log.error(Event.LOG_SET_ASIDE, error=str(error))
                 self._set_aside(storage)
             except DiskFullError as error:
-                log.error("log not opened: disk", error=str(error))
+                log.error(Event.LOG_NOT_OPENED, error=str(error))
             storage.close()
             await self.sleep(_REOPEN_S)
         else:
@@ -182,7 +182,7 @@
         self.node = node
         await self.add_runtime_dependency(node)
         log.info(
-            "log opened",
+            Event.LOG_OPENED,
             name=node.name,
             last_index=node.last_index,
             term=node.term,
@@ -196,7 +196,7 @@
         try:
             storage.set_aside()
         except DiskFullError as error:
-            log.error("log not set aside: disk", error=str(error))
+            log.error(Event.LOG_NOT_SET_ASIDE, error=str(error))
 
     def _make_node(self, storage: LogStorage) -> RaftNode:
         settings = self.settings
@@ -237,7 +237,7 @@
     async def leave(self) -> None:
         """Stop gracefully: the others take over by themselves."""
         leads = self.node is not None and self.node.role is Role.LEADER
-        log.info("leaving", leads=leads)
+        log.info(Event.LEAVING, leads=leads)
 
     async def on_stop(self) -> None:
         """Stop listening."""
@@ -270,7 +270,7 @@
         node = self._opened_node()
         if document.version <= node.documents.routes.version:
             log.info(
-                "change overtaken",
+                Event.CHANGE_OVERTAKEN,
                 version=document.version,
                 version_held=node.documents.routes.version,
             )
@@ -290,7 +290,7 @@
         self.counters["changes_agreed"] += 1
         self._change_s.record(took_s)
         log.info(
-            "change agreed",
+            Event.CHANGE_AGREED,
             version=document.version,
             version_before=before,
             index=outcome.index,
@@ -375,7 +375,7 @@
         known = await self.hub.spread(_SPREAD_LIMIT_S)
         if not known:
             self.counters["spread_incomplete"] += 1
-            log.warning("not known everywhere in time", what=what, run=run_id)
+            log.warning(Event.NOT_SPREAD, what=what, run=run_id)
 
     def _remember(self) -> None:
         commit_index = self.node.commit_index if self.node else 0
@@ -394,7 +394,7 @@
                 await asyncio.to_thread(self.node.sync_commit_index)
             self._remembered = now
         except (OSError, DiskFullError) as error:
-            log.warning("hints for a restart not saved: disk", error=str(error))
+            log.warning(Event.HINTS_NOT_SAVED, error=str(error))
         finally:
             self._remembering = False
 
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -4,7 +4,7 @@
 
 from xxhash import xxh32_intdigest
 
-from agatethread.observability import Counters, make_logger
+from agatethread.observability import Counters, Event, make_logger
 from agatethread.wire import unpack_address
 from agatethread.wire.registry_pb2 import BackendRun
 
@@ -135,7 +135,7 @@
         pause_s = min(_FIRST_PENALTY_S * 2 ** min(beyond, 8), _LONGEST_PENALTY_S)
         self.penalty_until_s = now_s + pause_s
         log.info(
-            "backend server avoided: it does not answer",
+            Event.BACKEND_AVOIDED,
             run=self.id,
             failures=self.failures,
             last_answer_ago_s=round(now_s - self.answered_s, 3),
@@ -230,7 +230,7 @@
         backend.told_s = self._now_s()
         if run.draining and not backend.draining:
             backend.draining = True
-            self._log_change(backend, "draining")
+            self._log_change(backend, Event.RUN_DRAINING)
         if run.ended and not backend.ended:
             self._end(backend)
 
@@ -242,25 +242,25 @@
             # The same one of the two must give way on every instance.
             loser = max(holder, backend, key=lambda one: one.id)
             loser.shares_label = True
-            log.error("two runs share a label", kept=holder.id, other=backend.id)
+            log.error(Event.LABEL_SHARED, kept=holder.id, other=backend.id)
             if loser is holder:
                 self._by_label[backend.label] = backend
         else:
             self._by_label[backend.label] = backend
         self._by_service.setdefault(backend.service, []).append(backend)
-        self._log_change(backend, "known")
+        self._log_change(backend, Event.RUN_KNOWN)
         return backend
 
     def _end(self, backend: Backend) -> None:
         backend.ended = True
         backend.ended_s = self._now_s()
         self._by_service[backend.service].remove(backend)
-        self._log_change(backend, "ended")
+        self._log_change(backend, Event.BACKEND_ENDED)
 
-    def _log_change(self, backend: Backend, change: str) -> None:
-        self._counters[f"backend_{change}"] += 1
+    def _log_change(self, backend: Backend, event: Event) -> None:
+        self._counters[event.replace(" ", "_")] += 1
         log.info(
-            "backend server " + change,
+            event,
             run=backend.id,
             service=backend.service,
             sequence=backend.sequence,
@@ -283,7 +283,8 @@
             reporting = is_reporting(backend.id)
             if reporting != backend.reporting:
                 backend.reporting = reporting
-                self._log_change(backend, "reporting" if reporting else "silent")
+                event = Event.RUN_REPORTING if reporting else Event.RUN_SILENT
+                self._log_change(backend, event)
 
     def _forget(self, backend: Backend) -> None:
         del self._by_id[backend.id]
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -12,7 +12,7 @@
 from agatethread.datapath._flows import FlowLoads
 from agatethread.datapath._packets import Address, FlowKey, Packet, PacketCodec
 from agatethread.datapath._placing import choose_backend, choose_service
-from agatethread.observability import Counters, make_logger
+from agatethread.observability import Counters, Event, make_logger
 from agatethread.routing import (
     NO_ROUTES,
     OpenFlowOutcome,
@@ -79,7 +79,7 @@
         if table.version <= self.table.version:
             return
         log.info(
-            "routing table in force",
+            Event.TABLE_IN_FORCE,
             version=table.version,
             version_before=self.table.version,
             routes=len(table.routes),
@@ -161,7 +161,7 @@
         now_s: float,
     ) -> None:
         log.info(
-            "flow placed",
+            Event.FLOW_PLACED,
             flow=str(packet.key),
             copy=packet.copy,
             run=backend.id,
@@ -206,7 +206,7 @@
     def _drop(self, packet: Packet, reason: str) -> None:
         self._counters[f"dropped_{reason}"] += 1
         log.info(
-            "packet dropped",
+            Event.PACKET_DROPPED,
             why=reason,
             flow=str(packet.key),
             label=packet.label,
@@ -218,7 +218,7 @@
             return
         self._counters[f"reset_{reason}"] += 1
         log.info(
-            "flow reset",
+            Event.FLOW_RESET,
             why=reason,
             flow=str(packet.key),
             label=packet.label,
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -12,7 +12,7 @@
 from agatethread.datapath._pacing import PacedSender
 from agatethread.datapath._packets import PacketCodec
 from agatethread.datapath._readiness import Readiness
-from agatethread.observability import Counters, Measures, make_logger
+from agatethread.observability import Counters, Event, Measures, make_logger
 from agatethread.registry import RegistryTransport, Subscription
 from agatethread.routing import decode_table
 from agatethread.settings import parse_address
@@ -152,7 +152,7 @@
         self.timers.subscribe(_CHECK_INTERVAL_S, self._check_ready)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self._sweep)
         self.subscription.poll()
-        log.info("entry instance started", instance=self._settings.name)
+        log.info(Event.ENTRY_STARTED, instance=self._settings.name)
 
     async def on_stop(self) -> None:
         """Close the sockets."""
@@ -164,7 +164,7 @@
         departure = Departure(self.timers.now_s, self._settings.grace_s)
         waited_s = await self._wait_for_turn(departure)
         log.info(
-            "leaving", flows=len(self.forwarder.loads), waited_s=round(waited_s, 3)
+            Event.LEAVING, flows=len(self.forwarder.loads), waited_s=round(waited_s, 3)
         )
         self.readiness.stopping = True
         self._check_ready()
@@ -207,7 +207,7 @@
         )
         if ready != self.is_ready:
             log.info(
-                "ready" if ready else "not ready",
+                Event.READY if ready else Event.NOT_READY,
                 version=self.forwarder.table.version,
                 backends=len(self.view),
                 controls=len(self.subscription.live()),
--- a/src/agatethread/observability/__init__.py
+++ b/src/agatethread/observability/__init__.py
@@ -1,5 +1,6 @@
 """Logs, metrics and dumps."""
 
+from agatethread.observability._events import EVENT_FIELDS, Event
 from agatethread.observability._exposition import Measures, expose
 from agatethread.observability._histogram import Histogram
 from agatethread.observability._logging import (
@@ -11,7 +12,9 @@
 from agatethread.observability._output import LineBudget, LineWriter
 
 __all__ = [
+    "EVENT_FIELDS",
     "Counters",
+    "Event",
     "Histogram",
     "LineBudget",
     "LineWriter",
--- /dev/null
+++ b/src/agatethread/observability/_events.py
@@ -0,0 +1,178 @@
+"""Every event that the platform's processes log, and the fields of its line.
+
+docs/OPERATIONS.md explains them; a test keeps code, this list and that page together.
+"""
+
+from collections.abc import Mapping
+from enum import StrEnum
+from types import MappingProxyType
+
+
+class Event(StrEnum):
+    """An event; the value is the `message` of its lines."""
+
+    # Packets and flows.
+    FLOW_PLACED = "flow placed"
+    FLOW_RESET = "flow reset"
+    PACKET_DROPPED = "packet dropped"
+    DATAGRAM_FAILED = "a datagram's handler failed"
+
+    # Backend servers, as an entry instance holds them.
+    RUN_KNOWN = "backend server known"
+    RUN_REPORTING = "backend server reporting"
+    RUN_DRAINING = "backend server draining"
+    RUN_SILENT = "backend server silent"
+    BACKEND_AVOIDED = "backend server avoided: it does not answer"
+    LABEL_SHARED = "two runs share a label"
+
+    # Backend servers, as a control instance hears them.
+    BACKEND_REPORTS = "backend server reports"
+    BACKEND_STOPPED = "backend server stopped reporting"
+    BACKEND_ENDED = "backend server ended"
+    REPORT_NOT_TAKEN = "report not taken: another run holds its address"
+    NOT_SPREAD = "not known everywhere in time"
+
+    # What an instance knows and whether it serves.
+    TABLE_IN_FORCE = "routing table in force"
+    READY = "ready"
+    NOT_READY = "not ready"
+    CONTROL_IN_SIGHT = "control instance in sight"
+    CONTROL_OUT_OF_SIGHT = "control instance out of sight"
+
+    # Configurations.
+    CHANGE_AGREED = "change agreed"
+    CHANGE_OVERTAKEN = "change overtaken"
+    CALL_REFUSED = "call refused"
+    CALL_NOT_ANSWERED = "call not answered"
+
+    # The log and its members.
+    LEADER = "leader"
+    LEADER_NO_MORE = "no longer leader"
+    QUORUM_LOST = "leader lost its quorum"
+    LEADER_NO_VOTER = "leader is no voter any more"
+    LEADER_CANT_WRITE = "leader can't write: another one should lead"
+    CANT_STAND = "can't stand for election: disk"
+    MEMBERS_CHANGE = "members change"
+    MEMBERS_NOT_CHANGED = "members not changed"
+    JOIN_FAILED = "not taken in"
+    FIRST_START = "first start"
+    EMPTY_DISK = "empty disk: joining as a new member"
+    LOG_OPENED = "log opened"
+
+    # Disks.
+    LOG_NOT_OPENED = "log not opened: disk"
+    LOG_SET_ASIDE = "log set aside: damaged"
+    LOG_NOT_SET_ASIDE = "log not set aside: disk"
+    LOG_NOT_COMPACTED = "log not compacted: disk"
+    LOG_CALL_NOT_ANSWERED = "call not answered: disk"
+    TERM_NOT_TAKEN = "could not take a newer term: disk"
+    COMMIT_NOT_SAVED = "commit index not saved: disk"
+    HINTS_NOT_SAVED = "hints for a restart not saved: disk"
+    HINTS_NOT_READ = "file of backend servers not read"
+    HINTS_DAMAGED = "file of backend servers is not whole"
+
+    # Processes, settings and calls.
+    STARTED = "started"
+    ENTRY_STARTED = "entry instance started"
+    CONTROL_STARTED = "control instance started"
+    LEAVING = "leaving"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    SETTINGS_READ = "settings read again"
+    SETTINGS_WRONG = "changed settings are wrong, the old ones stay"
+    SETTINGS_UNREADABLE = "changed settings can't be read"
+    CALL_FAILED = "a call's handler failed"
+    CALL_UNREADABLE = "call can't be read"
+    CALL_TOO_LARGE = "call's body too large"
+    CONNECTION_LOST = "connection lost"
+    CONNECTION_CLOSED = "connection closed by the stop"
+
+
+#: Fields beside those of every line (time, level, instance, failure domain, part). A
+#: line has some or all of them.
+EVENT_FIELDS: Mapping[Event, frozenset[str]] = MappingProxyType(
+    {
+        Event.FLOW_PLACED: frozenset(
+            {
+                "flow",
+                "copy",
+                "run",
+                "label",
+                "service",
+                "in_flight",
+                "flows",
+                "failures",
+                "told_ago_s",
+                "tried",
+                "table_version",
+            }
+        ),
+        Event.FLOW_RESET: frozenset({"why", "flow", "label", "table_version"}),
+        Event.PACKET_DROPPED: frozenset({"why", "flow", "label", "table_version"}),
+        Event.DATAGRAM_FAILED: frozenset(),
+        Event.RUN_KNOWN: frozenset({"run", "service", "sequence"}),
+        Event.RUN_REPORTING: frozenset({"run", "service", "sequence"}),
+        Event.RUN_DRAINING: frozenset({"run", "service", "sequence"}),
+        Event.RUN_SILENT: frozenset({"run", "service", "sequence"}),
+        Event.BACKEND_AVOIDED: frozenset(
+            {"run", "failures", "last_answer_ago_s", "pause_s"}
+        ),
+        Event.LABEL_SHARED: frozenset({"kept", "other"}),
+        Event.BACKEND_REPORTS: frozenset(
+            {"run", "service", "sequence", "draining", "new"}
+        ),
+        Event.BACKEND_STOPPED: frozenset({"run", "service", "last_report_ago_s"}),
+        Event.BACKEND_ENDED: frozenset({"run", "service", "sequence", "why"}),
+        Event.REPORT_NOT_TAKEN: frozenset({"run", "holder", "holder_heard_ago_s"}),
+        Event.NOT_SPREAD: frozenset({"what", "run"}),
+        Event.TABLE_IN_FORCE: frozenset({"version", "version_before", "routes"}),
+        Event.READY: frozenset({"version", "backends", "controls"}),
+        Event.NOT_READY: frozenset({"version", "backends", "controls"}),
+        Event.CONTROL_IN_SIGHT: frozenset({"address", "failure_domain", "settled"}),
+        Event.CONTROL_OUT_OF_SIGHT: frozenset(
+            {"address", "failure_domain", "silent_s"}
+        ),
+        Event.CHANGE_AGREED: frozenset(
+            {"version", "version_before", "index", "term", "took_s"}
+        ),
+        Event.CHANGE_OVERTAKEN: frozenset({"version", "version_held"}),
+        Event.CALL_REFUSED: frozenset({"path", "faults"}),
+        Event.CALL_NOT_ANSWERED: frozenset({"path", "why"}),
+        Event.LEADER: frozenset({"term", "last_index"}),
+        Event.LEADER_NO_MORE: frozenset({"term", "leader"}),
+        Event.QUORUM_LOST: frozenset({"term"}),
+        Event.LEADER_NO_VOTER: frozenset({"term"}),
+        Event.LEADER_CANT_WRITE: frozenset({"term"}),
+        Event.CANT_STAND: frozenset({"error"}),
+        Event.MEMBERS_CHANGE: frozenset({"voters", "learners", "term"}),
+        Event.MEMBERS_NOT_CHANGED: frozenset({"why"}),
+        Event.JOIN_FAILED: frozenset({"target", "error"}),
+        Event.FIRST_START: frozenset({"name", "founders"}),
+        Event.EMPTY_DISK: frozenset({"name"}),
+        Event.LOG_OPENED: frozenset({"name", "last_index", "term", "members"}),
+        Event.LOG_NOT_OPENED: frozenset({"error"}),
+        Event.LOG_SET_ASIDE: frozenset({"error"}),
+        Event.LOG_NOT_SET_ASIDE: frozenset({"error"}),
+        Event.LOG_NOT_COMPACTED: frozenset({"error"}),
+        Event.LOG_CALL_NOT_ANSWERED: frozenset({"error"}),
+        Event.TERM_NOT_TAKEN: frozenset({"error"}),
+        Event.COMMIT_NOT_SAVED: frozenset({"error"}),
+        Event.HINTS_NOT_SAVED: frozenset({"error"}),
+        Event.HINTS_NOT_READ: frozenset({"error"}),
+        Event.HINTS_DAMAGED: frozenset({"path"}),
+        Event.STARTED: frozenset({"role", "first_start"}),
+        Event.ENTRY_STARTED: frozenset({"instance"}),
+        Event.CONTROL_STARTED: frozenset({"instance"}),
+        Event.LEAVING: frozenset({"leads", "flows", "waited_s"}),
+        Event.STOPPING: frozenset({"role"}),
+        Event.STOPPED: frozenset({"role"}),
+        Event.SETTINGS_READ: frozenset({"seeds"}),
+        Event.SETTINGS_WRONG: frozenset({"faults"}),
+        Event.SETTINGS_UNREADABLE: frozenset({"why"}),
+        Event.CALL_FAILED: frozenset({"path"}),
+        Event.CALL_UNREADABLE: frozenset({"error"}),
+        Event.CALL_TOO_LARGE: frozenset({"limit_bytes"}),
+        Event.CONNECTION_LOST: frozenset({"error"}),
+        Event.CONNECTION_CLOSED: frozenset(),
+    }
+)
--- a/src/agatethread/registry/_memory.py
+++ b/src/agatethread/registry/_memory.py
@@ -11,7 +11,7 @@
 
 from google.protobuf.message import DecodeError
 
-from agatethread.observability import make_logger
+from agatethread.observability import Event, make_logger
 from agatethread.wire.registry_pb2 import BackendRun, Delta
 
 _CHECKSUM = struct.Struct("!I")
@@ -69,11 +69,11 @@
         (checksum,) = _CHECKSUM.unpack_from(data)
         payload = data[_CHECKSUM.size :]
         if zlib.crc32(payload) != checksum:
-            log.warning("file of backend servers is not whole", path=str(path))
+            log.warning(Event.HINTS_DAMAGED, path=str(path))
             return []
         return list(Delta.FromString(payload).runs)
     except FileNotFoundError:
         return []
     except (OSError, struct.error, DecodeError) as error:
-        log.warning("file of backend servers not read", error=repr(error))
+        log.warning(Event.HINTS_NOT_READ, error=repr(error))
         return []
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Iterator
 
-from agatethread.observability import make_logger
+from agatethread.observability import Event, make_logger
 from agatethread.registry._report import Report
 from agatethread.wire.registry_pb2 import BackendRun
 
@@ -114,7 +114,7 @@
             # Two runs can't share an address. The one that is heard regularly lives;
             # the report of the other was delayed, and if not, its next one decides.
             log.info(
-                "report not taken: another run holds its address",
+                Event.REPORT_NOT_TAKEN,
                 run=report.id,
                 holder=holder.run.id,
                 holder_heard_ago_s=round(now_s - holder.heard_s, 3),
@@ -150,7 +150,7 @@
         if changed:
             self._mark(entry)
             log.info(
-                "backend server reports",
+                Event.BACKEND_REPORTS,
                 run=run.id,
                 service=run.service,
                 sequence=run.sequence,
@@ -230,7 +230,7 @@
         if self._holders.get(run.address) is entry:
             del self._holders[run.address]
         self._mark(entry)
-        log.info("backend server ended", run=run.id, service=run.service, why=reason)
+        log.info(Event.BACKEND_ENDED, run=run.id, service=run.service, why=reason)
 
     def _mark(self, entry: _Entry) -> None:
         self.index += 1
@@ -294,7 +294,7 @@
         run.silent = True
         self._mark(entry)
         log.warning(
-            "backend server stopped reporting",
+            Event.BACKEND_STOPPED,
             run=run.id,
             service=run.service,
             last_report_ago_s=round(age_s, 3),
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from agatethread.observability import Counters, make_logger
+from agatethread.observability import Counters, Event, make_logger
 from agatethread.registry._presence import DomainView, merge_counts
 from agatethread.wire.registry_pb2 import (
     PRESENCE_UNKNOWN,
@@ -51,6 +51,9 @@
     seen_index: int = 0
     heard_s: float = float("-inf")
     knocked_s: float = float("-inf")
+    #: When it was asked last, and whether it has answered as far as the log says.
+    asked_s: float = float("-inf")
+    in_sight: bool = False
     #: Whether it says that it knows every backend server that reports.
     settled: bool = False
     #: Whether it hears a leader.
@@ -177,6 +180,7 @@
     def poll(self) -> None:
         """Ask the followed control instances for what is new."""
         live = self.live()
+        self._note_lost()
         followed = live if self._is_control else self._choose(live)
         for link in followed:
             self._send_poll(link, wants_reply=True)
@@ -185,6 +189,18 @@
         else:
             self._knock_at_home(followed)
 
+    def _note_lost(self) -> None:
+        for link in self.links.values():
+            # One that is not asked any more says nothing, and is not lost by that.
+            if link.in_sight and link.asked_s - link.heard_s > _HUB_LEASE_S:
+                link.in_sight = False
+                log.info(
+                    Event.CONTROL_OUT_OF_SIGHT,
+                    address=link.address.hex(),
+                    failure_domain=link.failure_domain,
+                    silent_s=round(self._now_s() - link.heard_s, 3),
+                )
+
     def _choose(self, live: list[HubLink]) -> list[HubLink]:
         # When one was heard last is no criterion, or links would change at each poll.
         ranked = sorted(live, key=self._rank)
@@ -235,6 +251,8 @@
                 self._send_poll(link, wants_reply=True)
 
     def _send_poll(self, link: HubLink, wants_reply: bool) -> None:
+        if wants_reply:
+            link.asked_s = self._now_s()
         poll = Poll(
             hub_incarnation=link.incarnation,
             seen_index=link.seen_index,
@@ -281,9 +299,10 @@
 
     def _note_heard(self, link: HubLink, delta: Delta) -> None:
         now_s = self._now_s()
-        if now_s - link.heard_s > _HUB_LEASE_S:
+        if not link.in_sight:
+            link.in_sight = True
             log.info(
-                "control instance in sight",
+                Event.CONTROL_IN_SIGHT,
                 address=link.address.hex(),
                 failure_domain=delta.failure_domain,
                 settled=delta.settled,
--- a/src/agatethread/sockets/_datagrams.py
+++ b/src/agatethread/sockets/_datagrams.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from agatethread.exceptions import DatagramError, SealError
-from agatethread.observability import Counters, make_logger
+from agatethread.observability import Counters, Event, make_logger
 from agatethread.settings import parse_address
 
 #: Datagrams read before other tasks get their turn.
@@ -80,7 +80,7 @@
             except Exception:
                 # One datagram must never end the process, whatever is in it.
                 counters["dropped_by_fault"] += 1
-                log.exception("a datagram's handler failed")
+                log.exception(Event.DATAGRAM_FAILED)
 
     return drain
 
--- a/tests/registry/test_spreading.py
+++ b/tests/registry/test_spreading.py
@@ -5,9 +5,10 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from logbook import TestHandler
 
 from agatethread.exceptions import DatagramError
-from agatethread.observability import Counters
+from agatethread.observability import Counters, Event
 from agatethread.registry import (
     RegistryHub,
     RoutesOffer,
@@ -239,6 +240,25 @@
         world.step(15)
         self.assertEqual(world.entry.routes_version, 9)
 
+    def test_log_tells_once_that_a_control_instance_is_lost_and_regained(self):
+        """One line when it stops answering, one when it answers again, none else."""
+        with TestHandler() as handler:
+            world = World(("a", "b"))
+            world.step(100)
+            world.cut = {address(1)}
+            world.step(40)
+            world.cut = set()
+            world.step(40)
+        events = [
+            record.message
+            for record in handler.records
+            if record.kwargs.get("address") == address(1).hex()
+        ]
+        lost, regained = Event.CONTROL_OUT_OF_SIGHT, Event.CONTROL_IN_SIGHT
+        # The entry instance and the other control instance each say so.
+        self.assertEqual(events.count(lost), 2)
+        self.assertEqual(events.count(regained), 4)
+
     def test_table_in_parts_arrives_whole_and_never_goes_back(self):
         """A large table arrives in spite of losses, and an older one is passed over."""
         world = World()
