--- a/src/agatethread/cli/_ctl.py
+++ b/src/agatethread/cli/_ctl.py
@@ -2,10 +2,12 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import sys
 import uuid
 from collections.abc import Awaitable, Callable
+from datetime import datetime
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +20,7 @@
     wait_in_force,
 )
 from agatethread.cli._calls import all_statuses as read_statuses
+from agatethread.cli._story import LogLine, explain, read_logs
 from agatethread.exceptions import (
     AgatethreadError,
     DocumentError,
@@ -33,6 +36,8 @@
 from agatethread.wire.control_pb2 import Command, PutDocument, SetDrain, StatusReply
 
 EXIT_DONE, EXIT_REFUSED, EXIT_USAGE = 0, 1, 2
+#: Commands that need no control instance.
+_LOCAL_COMMANDS = ("check", "explain")
 
 Handler = Callable[[argparse.Namespace, ControlTarget], Awaitable[int]]
 
@@ -172,6 +177,49 @@
     return EXIT_DONE
 
 
+async def _explain(options: argparse.Namespace, _: ControlTarget) -> int:
+    with contextlib.ExitStack() as files:
+        logs = read_logs(
+            files.enter_context(open(name, encoding="utf-8", errors="replace"))
+            for name in options.logs
+        )
+    story = explain(logs, options.name)
+    data = {
+        "cause": story.cause,
+        "deciding": story.deciding.fields if story.deciding else None,
+        "lines": [line.fields for line in story.lines],
+        "unreadable_lines": logs.unreadable_count,
+        "left_out_lines": logs.left_out_count,
+    }
+    text = [_describe(line, line is story.deciding) for line in story.lines]
+    _print(options, data, "\n".join([*text, story.cause]))
+    return EXIT_DONE if story.lines else EXIT_REFUSED
+
+
+#: Fields of every line, and those that a line of text shows by itself.
+_SHOWN_FIELDS = {
+    "time",
+    "steady_s",
+    "level",
+    "instance",
+    "failure_domain",
+    "part",
+    "message",
+}
+
+
+def _describe(line: LogLine, is_deciding: bool) -> str:
+    moment = datetime.fromtimestamp(line.time_s).time().isoformat("milliseconds")
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name not in _SHOWN_FIELDS
+    )
+    mark = ">" if is_deciding else " "
+    step = f" (its clock was {line.step_s:+.1f} s off)" if line.step_s else ""
+    return f"{mark} {moment} {line.instance}: {line.event} {fields}{step}"
+
+
 def _add_command(
     commands, name: str, handler: Handler, summary: str, example: str
 ) -> argparse.ArgumentParser:
@@ -209,6 +257,12 @@
     return parser
 
 
+def _not_empty(name: str) -> str:
+    if not name:
+        raise argparse.ArgumentTypeError("an empty name would match every line")
+    return name
+
+
 def _add_commands(commands) -> None:
     apply = _add_command(
         commands, "apply", _apply, "apply a service document", "apply tab.json5"
@@ -237,6 +291,17 @@
     )
     check.add_argument("file", metavar="FILE")
     check.add_argument("--document", action="store_true", help="it is a document")
+    explain_command = _add_command(
+        commands,
+        "explain",
+        _explain,
+        "tell from logs what became of a flow, a run or a version",
+        "explain '10.0.0.7:40001' edge-*.log core-*.log",
+    )
+    explain_command.add_argument(
+        "name", metavar="CALLER:PORT|RUN|version:N", type=_not_empty
+    )
+    explain_command.add_argument("logs", metavar="LOG", nargs="+")
     for command in (apply, drain):
         command.add_argument("--change-id", default="", help="to send a change again")
     for command in (apply, drain, status):
@@ -248,7 +313,7 @@
 def _target(options: argparse.Namespace) -> ControlTarget:
     files = (options.certificate_file, options.key_file, options.authority_file)
     tls = TlsSettings(*files) if all(files) else None
-    if options.command != "check":
+    if options.command not in _LOCAL_COMMANDS:
         if tls is None and not options.plain_text:
             fault = FieldError("command line", "tls", "", "key files, or --plain-text")
             raise SettingsError("command line has faults", [fault])
--- a/src/agatethread/observability/_logging.py
+++ b/src/agatethread/observability/_logging.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+import time
 from typing import Any
 
 import logbook
@@ -16,6 +17,10 @@
 )
 
 
+#: What `steady_s` counts from: nearly the start of the process.
+_LOADED_S = time.monotonic()
+
+
 def _fields(record: logbook.LogRecord) -> dict[str, Any]:
     return {key: value for key, value in record.kwargs.items() if key != "exc_info"}
 
@@ -23,6 +28,8 @@
 def _format_json(record: logbook.LogRecord, _: Any) -> str:
     line = {
         "time": record.time.isoformat(),
+        # The time of day may be stepped; this orders a process's lines for certain.
+        "steady_s": round(time.monotonic() - _LOADED_S, 4),
         "level": record.level_name.lower(),
         "instance": record.extra["instance"],
         "failure_domain": record.extra["failure_domain"],
