--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -37,10 +37,7 @@
     save_runs,
 )
 from agatethread.routing import RoutingDocument, check_document, encode_table
-from agatethread.settings import (
-    format_address,
-    parse_address,
-)
+from agatethread.settings import format_address, listen_address, parse_address
 from agatethread.timing import TimerService
 from agatethread.wire import pack_address, unpack_address
 from agatethread.wire.control_pb2 import (
@@ -108,7 +105,9 @@
 
     def _build_registry(self) -> None:
         settings, now_s = self.settings, self.timers.now_s
-        self._transport = RegistryTransport(settings.registry, self.counters)
+        self._transport = RegistryTransport(
+            listen_address(settings.registry, settings.listen_host), self.counters
+        )
         self.runs = RunTable(settings.report_interval_s, now_s)
         self.hub = RegistryHub(
             self.runs,
@@ -178,7 +177,8 @@
         module = await asyncio.to_thread(importlib.import_module, _LOG_PORT_MODULE)
         self._log_port = port = module.LogPort(self.settings)
         self._keeper = self._make_keeper(node, port)
-        await port.serve(node, self._keeper.on_join, self.settings.target)
+        target = listen_address(self.settings.target, self.settings.listen_host)
+        await port.serve(node, self._keeper.on_join, target)
         self.node = node
         await self.add_runtime_dependency(node)
         log.info(
--- a/src/agatethread/control/_routing_settings.py
+++ b/src/agatethread/control/_routing_settings.py
@@ -35,6 +35,9 @@
         Control instances whose loss at the same time has to be borne.
     data_dir : str
         Folder on a disk.
+    listen_host : str, optional
+        IP number to listen at for other instances, where something in between forwards
+        what they send to the advertised one.
     timing : ControlSettings, optional
         Timing of the log; its folder and members are not used.
     """
@@ -49,6 +52,7 @@
     report_interval_s: float
     losses_borne: int
     data_dir: str
+    listen_host: str = ""
     timing: ControlSettings = DEFAULT_TIMING
     tls: TlsSettings | None = field(default=None)
 
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -4,6 +4,7 @@
 
 from xxhash import xxh32_intdigest
 
+from agatethread.datapath._packets import FlowKey
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.wire import unpack_address
 from agatethread.wire.registry_pb2 import BackendRun
@@ -22,6 +23,9 @@
 #: waiting: the longest life of a flow.
 _ENDED_KEPT_S = 60.0
 
+#: Flows that wait, remembered for each run: a few are enough to judge it by.
+_MOST_WAITING = 64
+
 log = make_logger("backends")
 
 
@@ -72,6 +76,9 @@
         "shares_label",
         "slots",
         "told_s",
+        "unreachable",
+        "waiting",
+        "waits_since_s",
         "warm_s",
     )
 
@@ -102,6 +109,11 @@
         self.answered_s = 0.0
         self.failures = 0
         self.penalty_until_s = 0.0
+        #: Open flows that wait for it, since it answered anybody, and since when.
+        self.waiting: set[FlowKey] = set()
+        self.waits_since_s = 0.0
+        #: Whether it is held for gone, see `_silence`.
+        self.unreachable = False
 
     def answer(self, now_s: float) -> None:
         """Note that a caller has heard from it.
@@ -114,6 +126,27 @@
         self.answered_s = now_s
         self.failures = 0
         self.penalty_until_s = 0.0
+        self.waiting.clear()
+        if self.unreachable:
+            self.unreachable = False
+            log.info(Event.BACKEND_ANSWERS, run=self.id)
+
+    def wait(self, key: FlowKey, since_s: float) -> None:
+        """Note that an open flow waits for an answer.
+
+        Parameters
+        ----------
+        key : FlowKey
+            The flow.
+        since_s : float
+            When its packet was first forwarded.
+        """
+        if self.answered_s >= since_s:
+            return
+        if not self.waiting:
+            self.waits_since_s = since_s
+        if len(self.waiting) < _MOST_WAITING:
+            self.waiting.add(key)
 
     def fail(self, since_s: float, now_s: float) -> None:
         """Note that a caller waits for an answer to a packet.
--- a/src/agatethread/datapath/_flows.py
+++ b/src/agatethread/datapath/_flows.py
@@ -182,6 +182,7 @@
         if flow.sent is not None and not _is_after(packet.sequence, flow.sent):
             # The same bytes again. One copy says as much as all of a window.
             if now_s - flow.waits_since_s >= _LEAST_WAIT_S:
+                flow.backend.wait(packet.key, flow.waits_since_s)
                 flow.backend.fail(flow.waits_since_s, now_s)
                 flow.waits_since_s = now_s
             return
@@ -197,6 +198,18 @@
             flow.waits_since_s = now_s
             flow.progress = packet.sequence
 
+    def forget(self, key: FlowKey) -> None:
+        """Drop a flow that was reset.
+
+        Parameters
+        ----------
+        key : FlowKey
+            The flow.
+        """
+        flow = self._flows.get(key)
+        if flow is not None:
+            self._remove(key, flow)
+
     def _remove(self, key: FlowKey, flow: Flow) -> None:
         self._set_busy(flow, False)
         flow.backend.flows -= 1
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -1,8 +1,8 @@
 """Decides for each packet: forward it, reset its flow, or drop it.
 
-A reset is sent only on knowledge: the run has ended, or no run can take a new flow. Of
-what this instance does not know it says nothing; the caller sends its packet again, and
-by then it may be known.
+A reset is sent only on knowledge: the run has ended or answers nobody, or no run can
+take a new flow. Of what this instance does not know it says nothing; the caller sends
+its packet again, and by then it may be known.
 """
 
 import random
@@ -12,6 +12,7 @@
 from agatethread.datapath._flows import FlowLoads
 from agatethread.datapath._packets import Address, FlowKey, Packet, PacketCodec
 from agatethread.datapath._placing import choose_backend, choose_service
+from agatethread.datapath._silence import is_unreachable
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.routing import (
     NO_ROUTES,
@@ -21,6 +22,9 @@
     judge_open_flow,
 )
 
+#: A pause in which this instance can't have run: its timers call it each 0.2 s.
+_PAUSE_S = 1.0
+
 log = make_logger("forwarder")
 
 
@@ -65,6 +69,8 @@
         self._now_s = now_s
         self._counters = counters
         self._knows_all = knows_all
+        self._ticked_s = now_s()
+        self._awake_since_s = now_s()
         self.loads = FlowLoads(flow_limit_count)
         self.table: RouteTable = NO_ROUTES
 
@@ -100,6 +106,7 @@
             If it is no packet.
         """
         packet = self._codec.decode(data)
+        self.tick()
         if packet.opens:
             self._on_opening(packet)
         else:
@@ -186,12 +193,41 @@
         )
         if outcome is OpenFlowOutcome.FORWARD:
             self.loads.note(packet, backend, self._now_s())
+            if self._ends_flow(packet, backend):
+                self.loads.forget(packet.key)
+                self._reset(packet, "backend_unreachable")
+                return
             self._forward(packet, backend)
         elif outcome is OpenFlowOutcome.RESET:
             self._reset(packet, outcome.value)
         else:
             self._drop(packet, outcome.value)
 
+    def _ends_flow(self, packet: Packet, backend: Backend) -> bool:
+        """Decide whether a request is better sent again on another flow.
+
+        Only where callers may do so; elsewhere an answer may still come, if late.
+        """
+        if not packet.payload_bytes or packet.closes:
+            return False
+        route = self.table.routes[packet.key.host, packet.key.port]
+        if not route.idempotent:
+            return False
+        if not backend.unreachable:
+            others = self._view.of_service(backend.service)
+            backend.unreachable = is_unreachable(
+                backend, others, self._now_s(), self._awake_since_s
+            )
+        return backend.unreachable
+
+    def tick(self) -> None:
+        """Note that this instance runs; to be called several times a second."""
+        now_s = self._now_s()
+        if now_s - self._ticked_s > _PAUSE_S:
+            # What was not answered meanwhile says nothing about the backend servers.
+            self._awake_since_s = now_s
+        self._ticked_s = now_s
+
     def _allows(self, packet: Packet, backend: Backend) -> bool:
         route = self.table.routes.get((packet.key.host, packet.key.port))
         return route is not None and backend.service in route.services
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -15,7 +15,7 @@
 from agatethread.observability import Counters, Event, Measures, make_logger
 from agatethread.registry import RegistryTransport, Subscription
 from agatethread.routing import decode_table
-from agatethread.settings import parse_address
+from agatethread.settings import listen_address, parse_address
 from agatethread.sockets import (
     drain_into,
     open_socket,
@@ -69,6 +69,9 @@
         Rate of the instance's link.
     flow_limit_count : int
         Most flows whose load is counted.
+    listen_host : str, optional
+        IP number to hear control instances at, where something in between forwards what
+        they send to the advertised one.
     """
 
     name: str
@@ -79,6 +82,7 @@
     grace_s: float
     link_bits_per_s: float
     flow_limit_count: int = 100_000
+    listen_host: str = ""
 
 
 class LabelEntryInstance(Service):
@@ -122,7 +126,9 @@
             settings.flow_limit_count,
             lambda: self.subscription.is_complete(),
         )
-        self._transport = RegistryTransport(settings.registry, counters)
+        self._transport = RegistryTransport(
+            listen_address(settings.registry, settings.listen_host), counters
+        )
         self.subscription = Subscription(
             settings.failure_domain,
             False,
@@ -193,6 +199,7 @@
         self.forwarder.take_table(decode_table(table))
 
     def _judge(self) -> None:
+        self.forwarder.tick()
         self.view.judge(self.subscription.is_reporting)
 
     def _sweep(self) -> None:
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -23,6 +23,8 @@
     RUN_DRAINING = "backend server draining"
     RUN_SILENT = "backend server silent"
     BACKEND_AVOIDED = "backend server avoided: it does not answer"
+    BACKEND_UNREACHABLE = "backend server unreachable: its flows end"
+    BACKEND_ANSWERS = "backend server answers again"
     LABEL_SHARED = "two runs share a label"
 
     # Backend servers, as a control instance hears them.
@@ -117,6 +119,10 @@
         Event.BACKEND_AVOIDED: frozenset(
             {"run", "failures", "last_answer_ago_s", "pause_s"}
         ),
+        Event.BACKEND_UNREACHABLE: frozenset(
+            {"run", "flows_waiting", "silent_s", "answered_by"}
+        ),
+        Event.BACKEND_ANSWERS: frozenset({"run"}),
         Event.LABEL_SHARED: frozenset({"kept", "other"}),
         Event.BACKEND_REPORTS: frozenset(
             {"run", "service", "sequence", "draining", "new"}
--- a/src/agatethread/routing/_table.py
+++ b/src/agatethread/routing/_table.py
@@ -36,6 +36,8 @@
         Where new flows go.
     timeout_ms : int
         Longest time that a request may take.
+    idempotent : bool
+        Whether callers may send its requests again, whatever became of them.
     """
 
     name: str
@@ -43,6 +45,7 @@
     port: int
     targets: tuple[Target, ...]
     timeout_ms: int
+    idempotent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +118,14 @@
             RouteTarget(service=position[target.service], weight=target.weight)
             for target in rule.targets
         ]
-        table.routes.append(TableRoute(host=rule.host, port=rule.port, targets=targets))
+        table.routes.append(
+            TableRoute(
+                host=rule.host,
+                port=rule.port,
+                targets=targets,
+                idempotent=rule.idempotent,
+            )
+        )
     return table
 
 
@@ -156,6 +166,8 @@
     targets: tuple[Target, ...]
     #: Services that its open flows may belong to.
     services: frozenset[str]
+    #: Whether callers may send its requests again, whatever became of them.
+    idempotent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,5 +203,7 @@
         )
         services = {target.service for target in targets}
         services.update(table.services[number] for number in route.earlier)
-        routes[route.host, route.port] = Route(targets, frozenset(services))
+        routes[route.host, route.port] = Route(
+            targets, frozenset(services), route.idempotent
+        )
     return RouteTable(table.version, routes)
--- a/src/agatethread/settings/__init__.py
+++ b/src/agatethread/settings/__init__.py
@@ -3,7 +3,11 @@
 from importlib import import_module
 from typing import TYPE_CHECKING, Any
 
-from agatethread.settings._addresses import format_address, parse_address
+from agatethread.settings._addresses import (
+    format_address,
+    listen_address,
+    parse_address,
+)
 from agatethread.settings._model import (
     ControlSettings,
     EntrySettings,
@@ -35,6 +39,7 @@
     "Settings",
     "TlsSettings",
     "format_address",
+    "listen_address",
     "load_settings",
     "parse_address",
     "parse_document",
--- a/src/agatethread/settings/_addresses.py
+++ b/src/agatethread/settings/_addresses.py
@@ -49,3 +49,22 @@
         ``IP:port``.
     """
     return f"{address[0]}:{address[1]}"
+
+
+def listen_address(address: str, listen_host: str) -> str:
+    """Find where to listen for what is sent to an advertised address.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` that others are told.
+    listen_host : str
+        IP number to listen at; empty where it is the advertised one.
+
+    Returns
+    -------
+    str
+        ``IP:port``, the port unchanged.
+    """
+    host, port = parse_address(address)
+    return format_address((listen_host or host, port))
--- /dev/null
+++ b/tests/datapath/test_silence.py
@@ -0,0 +1,227 @@
+import heapq
+import itertools
+import random
+import unittest
+from unittest import mock
+
+from agatethread.datapath import Backend, BackendView, LabelForwarder, label_of
+from agatethread.datapath._silence import is_unreachable
+from agatethread.observability import Counters
+from agatethread.routing import Route, RouteTable, Target
+from tests.datapath.worlds import CODEC, HOST, opening, packet, run
+from tests.fakes import Clock
+
+
+class TestIsUnreachable(unittest.TestCase):
+    def setUp(self):
+        self.silent, self.other = Backend(run(1)), Backend(run(2))
+        self.silent.answer(10.0)
+
+    def judge(self, now_s, awake_since_s=0.0):
+        return is_unreachable(
+            self.silent, [self.silent, self.other], now_s, awake_since_s
+        )
+
+    def wait(self, count=3, since_s=11.0):
+        for number in range(count):
+            self.silent.wait(number, since_s)
+
+    def test_run_that_answers_nobody_while_others_answer(self):
+        """Three flows wait for a second, and another run has just answered."""
+        self.wait()
+        self.other.answer(11.9)
+        self.assertTrue(self.judge(12.0))
+
+    def test_not_by_one_caller(self):
+        """One caller may have lost its packets on its own way."""
+        self.wait(count=2)
+        self.other.answer(11.9)
+        self.assertFalse(self.judge(12.0))
+
+    def test_not_at_once(self):
+        """A server may take some hundred milliseconds."""
+        self.wait()
+        self.other.answer(11.4)
+        self.assertFalse(self.judge(11.5))
+
+    def test_not_if_nobody_answers(self):
+        """If no run answers, this instance's own way is as likely the cause."""
+        self.wait()
+        self.assertFalse(self.judge(12.0))
+        self.other.answer(10.5)
+        self.assertFalse(self.judge(12.0))
+
+    def test_not_after_a_pause_of_this_instance(self):
+        """What went unanswered while this process stood still says nothing."""
+        self.wait()
+        self.other.answer(11.9)
+        self.assertFalse(self.judge(12.0, awake_since_s=11.8))
+        self.assertFalse(self.judge(12.0))
+
+    def test_answer_ends_the_verdict(self):
+        """One answer to anybody, and its flows are forwarded again."""
+        self.silent.unreachable = True
+        self.wait()
+        self.silent.answer(12.0)
+        self.assertFalse(self.silent.unreachable)
+        self.assertEqual(self.silent.waiting, set())
+
+
+class Play:
+    """Long flows with a request now and then, through a real forwarder.
+
+    Answers reach their callers directly, as on the platform; `delay_s` tells how long a
+    run takes at a time, or None while it answers nothing.
+    """
+
+    def __init__(self, delay_s, idempotent=True, flows=120, seed=1):
+        self.clock = Clock(0.0)
+        self.random = random.Random(seed)
+        self.delay_s = delay_s
+        self.order = itertools.count()
+        self.events = []
+        self.ports = itertools.count(1)
+        self.received = {}
+        self.in_time = self.late = self.failed = self.resets = 0
+        view = BackendView(self.clock, Counters())
+        for number in range(1, 8):
+            view.take(run(number))
+        self.forwarder = LabelForwarder(
+            CODEC,
+            view,
+            "a",
+            self.on_sent,
+            self.clock,
+            Counters(),
+            10_000,
+            lambda: True,
+        )
+        route = Route((Target("tab", 1),), frozenset({"tab"}), idempotent)
+        self.forwarder.table = RouteTable(1, {(HOST, 443): route})
+        for _ in range(flows):
+            self.at(self.random.uniform(0.0, 2.0), self.begin, None)
+
+    def at(self, time_s, call, *arguments):
+        heapq.heappush(self.events, (time_s, next(self.order), call, arguments))
+
+    def play(self, until_s):
+        while self.events and self.events[0][0] < until_s:
+            time_s, _, call, arguments = heapq.heappop(self.events)
+            while self.clock.value_s + 0.2 < time_s:
+                self.clock.value_s += 0.2
+                self.forwarder.tick()
+            self.clock.value_s = time_s
+            call(*arguments)
+        return self
+
+    # A request is a list: [begun, answered, flow's port, run's number or 0]. What a
+    # caller has received of a flow is kept by its port.
+
+    def begin(self, flow):
+        """Begin a request, on its long flow or on a new one."""
+        request = [self.clock(), False, *(flow or (next(self.ports), 0))]
+        self.at(self.clock() + 1.2, self.give_up, request)
+        self.send(request, 0, request[2])
+
+    def send(self, request, copy, port):
+        if request[1] or port != request[2] or copy > 2:
+            return
+        self.current = request
+        number = request[3]
+        if number:
+            begun = int(request[0] * 1e6)
+            one = packet(port, number, sequence=begun, payload_bytes=80)
+            one = one._replace(acknowledged=self.received.get(port, 0))
+        else:
+            one = opening(port, copy)
+        self.forwarder.on_datagram(one, ())
+        wait_s = (0.2, 0.4, 0.8)[copy]
+        self.at(self.clock() + wait_s, self.send, request, copy + 1, port)
+
+    def on_sent(self, data, target, key, sequence):
+        request = self.current
+        if request is None:
+            # An acknowledgement, which nobody answers.
+            return
+        if data[0] == "reset":
+            self.resets += 1
+            request[2:] = (next(self.ports), 0)
+            self.at(self.clock() + 0.006, self.send, request, 0, request[2])
+            return
+        number = data[1]
+        delay_s = self.delay_s(number, self.clock())
+        if delay_s is None:
+            return
+        if not request[3]:
+            self.at(self.clock() + 0.01, self.opened, request, number, request[2])
+        else:
+            self.at(self.clock() + delay_s, self.answered, request, request[2])
+
+    def opened(self, request, number, port):
+        if request[3] or request[1] or port != request[2]:
+            return
+        request[3] = number
+        one = packet(port, number, sequence=1, acknowledged=0)
+        self.current = None
+        self.forwarder.on_datagram(one, ())
+        self.send(request, 0, port)
+
+    def answered(self, request, port):
+        if request[1] or port != request[2]:
+            return
+        request[1] = True
+        took_s = self.clock() - request[0]
+        self.in_time += took_s <= 0.12
+        self.late += took_s > 0.12
+        self.received[port] = int(self.clock() * 1e6)
+        one = packet(port, request[3], sequence=self.received[port])
+        one = one._replace(acknowledged=self.received[port])
+        self.current = None
+        self.forwarder.on_datagram(one, ())
+        pause_s = self.random.uniform(0.5, 3.5)
+        self.at(self.clock() + pause_s, self.begin, (request[2], request[3]))
+
+    def give_up(self, request):
+        if not request[1]:
+            request[1] = True
+            self.failed += 1
+            self.at(self.clock() + self.random.uniform(0.5, 3.5), self.begin, None)
+
+
+def dies_at_10(number, now_s):
+    """Run 3 is gone for good after ten seconds; label_of keeps the numbers apart."""
+    return None if number == 3 and now_s >= 10.0 else 0.03
+
+
+def slow_from_10(number, now_s):
+    """Run 3 takes half a second for each request, but it lives."""
+    return 0.5 if number == 3 and now_s >= 10.0 else 0.03
+
+
+class TestPlay(unittest.TestCase):
+    def test_callers_of_a_dead_run_are_served_elsewhere(self):
+        """Most of its flows' next requests are answered, and most of those in time."""
+        told = Play(dies_at_10).play(20.0)
+        with mock.patch("agatethread.datapath._forwarder.is_unreachable") as judge:
+            judge.return_value = False
+            untold = Play(dies_at_10).play(20.0)
+        self.assertGreater(untold.failed, 12)
+        self.assertLess(told.failed, untold.failed / 2)
+        self.assertGreater(told.in_time, untold.in_time)
+
+    def test_slow_run_keeps_its_flows(self):
+        """A run that is slow but answers is never taken for a dead one."""
+        self.assertEqual(Play(slow_from_10).play(20.0).resets, 0)
+
+    def test_other_routes_wait_for_a_late_answer(self):
+        """Where requests may not be sent again, nothing is reset."""
+        self.assertEqual(Play(dies_at_10, idempotent=False).play(20.0).resets, 0)
+
+    def test_all_runs_silent_resets_nothing(self):
+        """If nobody answers, the fault may be this instance's own."""
+        play = Play(lambda number, now_s: None if now_s >= 10.0 else 0.03).play(20.0)
+        self.assertEqual(play.resets, 0)
+
+    def test_labels_of_the_play_differ(self):
+        """The play needs seven labels."""
+        self.assertEqual(len({label_of(number) for number in range(1, 8)}), 7)
--- a/tests/platform/test_roles.py
+++ b/tests/platform/test_roles.py
@@ -40,6 +40,7 @@
         "name": "node-1",
         "failure_domain": "hall-a",
         "host": "127.0.0.1",
+        "listen_host": "",
         "datagrams": f"127.0.0.1:{free_port()}",
         "readiness": f"127.0.0.1:{free_port()}",
         "api": api,
