--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN := $(VENV)/bin/python
 LAYOUT ?= faellesfane
 
-.PHONY: install demo test test-all lint format bench-forward bench-slopes bench-flows bench-faults fuzz wire
+.PHONY: install demo test test-all lint format bench-forward bench-slopes bench-flows bench-faults fuzz soak wire
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -44,5 +44,8 @@
 	$(RUN) -m benchmarks.fuzz_members --steps 20000 --seed 2 --losses 2
 	HYPOTHESIS_PROFILE=long $(RUN) -m unittest tests.control.test_raft tests.operations.test_machine
 
+soak: install
+	$(RUN) -m soak --seed $${SEED:-$$(date +%s)} --minutes $${MINUTES:-2}
+
 wire: install
 	scripts/generate_wire.sh
--- /dev/null
+++ b/soak/addresses.py
@@ -0,0 +1,80 @@
+"""Loopback addresses of everything that takes part in a run.
+
+An instance is advertised at one address and listens for the others at another; the mesh
+listens at the advertised ones and forwards.
+"""
+
+import random
+import socket
+from dataclasses import dataclass
+
+#: Second part of an address, by what it is of.
+_ADVERTISED, _LISTENING, _SERVERS, _CALLERS = 101, 102, 103, 104
+_MOST_NETS = 250
+_PORT_COUNT = 6
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """Addresses of one run; runs beside each other have other nets and ports."""
+
+    net: int
+    registry: int
+    log: int
+    api: int
+    datagrams: int
+    readiness: int
+    servers: int
+
+    def advertised(self, number: int) -> str:
+        """Give the address that others know an instance by."""
+        return f"127.{_ADVERTISED}.{self.net}.{number}"
+
+    def listening(self, number: int) -> str:
+        """Give the address that an instance listens at for the others."""
+        return f"127.{_LISTENING}.{self.net}.{number}"
+
+    def server(self, number: int) -> str:
+        """Give the address of a backend server."""
+        return f"127.{_SERVERS}.{self.net}.{number}"
+
+    def caller(self, number: int) -> str:
+        """Give the address of a caller."""
+        return f"127.{_CALLERS}.{self.net}.{number}"
+
+
+def number_of(host: str) -> int:
+    """Read the number of the instance, server or caller at an address."""
+    return int(host.rpartition(".")[2])
+
+
+def draw_addresses(seed: int) -> Addresses:
+    """Find a net, and a row of ports that are free for datagrams and connections.
+
+    Parameters
+    ----------
+    seed : int
+        Where to start to look; its net is its own among 250 seeds in a row.
+
+    Returns
+    -------
+    Addresses
+        Free a moment ago.
+    """
+    draw = random.Random(seed)
+    while True:
+        # Below the range from which the kernel takes ports for outgoing connections.
+        first = draw.randrange(15_000, 30_000)
+        ports = range(first, first + _PORT_COUNT)
+        if all(_is_free(port) for port in ports):
+            return Addresses(seed % _MOST_NETS + 1, *ports)
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("", port))
+            except OSError:
+                return False
+    return True
--- /dev/null
+++ b/soak/wire.py
@@ -0,0 +1,133 @@
+"""Packets and calls as the ends of the users' platform write them."""
+
+import asyncio
+import json
+import struct
+from dataclasses import dataclass
+from ipaddress import IPv4Address
+
+from agatethread.settings import parse_address
+
+#: label, source, its port, destination's port, destination, flags, pad, length, sum,
+#: sequence, acknowledged
+_HEADER = struct.Struct("!IIHHIBBHIII")
+_RUN = struct.Struct("!Q")
+SYN, RST, ACK, FIN = 1, 8, 16, 32
+_CALL_TIMEOUT_S = 1.0
+_MOST_REDIRECTS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Segment:
+    """A packet, decoded."""
+
+    label: int
+    source: tuple[int, int]
+    target: tuple[int, int]
+    flags: int
+    sequence: int
+    acknowledged: int
+    payload: bytes
+
+
+def encode(segment: Segment) -> bytes:
+    """Write a packet; its checksum is not used here."""
+    return (
+        _HEADER.pack(
+            segment.label,
+            segment.source[0],
+            segment.source[1],
+            segment.target[1],
+            segment.target[0],
+            segment.flags,
+            0,
+            len(segment.payload),
+            0,
+            segment.sequence,
+            segment.acknowledged,
+        )
+        + segment.payload
+    )
+
+
+def decode(data: bytes) -> Segment:
+    """Read a packet."""
+    label, src, sport, dport, dst, flags, _, _, _, seq, ack = _HEADER.unpack_from(data)
+    payload = data[_HEADER.size :]
+    return Segment(label, (src, sport), (dst, dport), flags, seq, ack, payload)
+
+
+def decode_for_run(data: bytes) -> tuple[int, Segment]:
+    """Read the number of the run that a datagram is for, and the packet in it."""
+    return _RUN.unpack_from(data)[0], decode(data[_RUN.size :])
+
+
+def host_number(host: str) -> int:
+    """Read an IP number as packets carry it."""
+    return int(IPv4Address(host))
+
+
+# -- calls ------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The answer to a call; status 0 if there was none."""
+
+    status: int
+    body: bytes = b""
+
+
+async def call(address: str, method: str, path: str, body: bytes = b"") -> Reply:
+    """Make a call, following redirects.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``.
+    method, path : str
+        Of the call.
+    body : bytes, optional
+        JSON.
+
+    Returns
+    -------
+    Reply
+        What was answered in time.
+    """
+    for _ in range(_MOST_REDIRECTS + 1):
+        try:
+            work = _call_once(address, method, path, body)
+            status, headers, answer = await asyncio.wait_for(work, _CALL_TIMEOUT_S)
+        except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
+            return Reply(0)
+        if status != 307:
+            return Reply(status, answer)
+        address = headers["location"].removeprefix("http://").split("/")[0]
+    return Reply(0)
+
+
+async def _call_once(
+    address: str, method: str, path: str, body: bytes
+) -> tuple[int, dict[str, str], bytes]:
+    host, port = parse_address(address)
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        head = (
+            f"{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n"
+            f"content-type: application/json\r\ncontent-length: {len(body)}\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        raw_head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        status_line, *rows = raw_head.strip().split("\r\n")
+        pairs = (row.partition(":") for row in rows)
+        headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+        answer = await reader.readexactly(int(headers.get("content-length", "0")))
+        return int(status_line.split()[1]), headers, answer
+    finally:
+        writer.close()
+
+
+def to_json(data: dict) -> bytes:
+    """Write a body."""
+    return json.dumps(data).encode()
--- a/src/agatethread/observability/_logging.py
+++ b/src/agatethread/observability/_logging.py
@@ -17,6 +17,10 @@
 )
 
 
+#: One encoder for all lines: making one costs as much as encoding.
+_encode = json.JSONEncoder(default=str).encode
+#: Lines wait for each other up to so many bytes, so that one system call takes them.
+_BATCH_BYTES = 4_096
 #: What `steady_s` counts from: nearly the start of the process.
 _LOADED_S = time.monotonic()
 
@@ -39,7 +43,7 @@
     line = _fields(record) | line
     if record.exc_info:
         line["traceback"] = record.formatted_exception
-    return json.dumps(line, default=str)
+    return _encode(line)
 
 
 def _format_human(record: logbook.LogRecord, _: Any) -> str:
@@ -85,6 +89,9 @@
         if self._writer.lost_count:
             record.kwargs["lines_lost"] = self._writer.lost_count
         self._writer.write(_format_json(record, None))
+        if record.level >= logbook.WARNING:
+            # These may be the last words of a process.
+            self._writer.flush()
 
 
 def log_to_standard_output(
@@ -104,7 +111,7 @@
     LineWriter
         To be flushed now and then.
     """
-    writer = LineWriter(sys.stdout.fileno())
+    writer = LineWriter(sys.stdout.fileno(), batch_bytes=_BATCH_BYTES)
     handler = BoundedHandler(writer, LineBudget(), logbook.lookup_level(level.upper()))
     _add_origin(instance, failure_domain)
     handler.push_application()
--- a/src/agatethread/observability/_output.py
+++ b/src/agatethread/observability/_output.py
@@ -7,13 +7,15 @@
 from collections.abc import Callable
 
 #: Lines of one kind written in a second. A busy entry instance places some tens of
-#: flows a second. A line takes 18 us of processor time, one left out 9 us, so this rate
-#: costs 0.2 % of a core a kind.
+#: flows a second. A line takes 14 us of processor time (benchmarks.log_cost), so this
+#: rate costs 0.14 % of a core a kind.
 LINES_PER_S = 100
 #: Lines that may come at once before the rate holds.
 BURST_LINES = 200
 #: Memory for lines that the reader has not taken yet.
 BUFFER_BYTES = 256 << 10
+#: Most that one system call writes: what a pipe holds.
+_WRITE_BYTES = 64 << 10
 
 
 class LineBudget:
@@ -73,11 +75,17 @@
         Where to write.
     limit_bytes : int, optional
         Memory for lines that could not be written yet; beyond it lines are lost.
+    batch_bytes : int, optional
+        Lines wait for `flush`, or until there are so many bytes of them; 0 writes each
+        line at once.
     """
 
-    def __init__(self, descriptor: int, limit_bytes: int = BUFFER_BYTES):
+    def __init__(
+        self, descriptor: int, limit_bytes: int = BUFFER_BYTES, batch_bytes: int = 0
+    ):
         self._descriptor = descriptor
         self._limit_bytes = limit_bytes
+        self._batch_bytes = batch_bytes
         self._waiting: deque[bytes] = deque()
         self._waiting_bytes = 0
         self.lost_count = 0
@@ -101,12 +109,13 @@
             return
         self._waiting.append(data)
         self._waiting_bytes += len(data)
-        self.flush()
+        if self._waiting_bytes >= self._batch_bytes:
+            self.flush()
 
     def flush(self) -> None:
         """Write what the reader takes now."""
         while self._waiting:
-            data = self._waiting[0]
+            data = self._join_waiting()
             try:
                 written = os.write(self._descriptor, data)
             except BlockingIOError:
@@ -118,7 +127,20 @@
                 self._waiting_bytes = 0
                 return
             self._waiting_bytes -= written
+            self._waiting.popleft()
             if written < len(data):
-                self._waiting[0] = data[written:]
+                self._waiting.appendleft(data[written:])
                 return
-            self._waiting.popleft()
+
+    def _join_waiting(self) -> bytes:
+        """Make one piece of what waits, as much as one call takes."""
+        size, count = 0, 0
+        for data in self._waiting:
+            if count and size + len(data) > _WRITE_BYTES:
+                break
+            size += len(data)
+            count += 1
+        if count > 1:
+            joined = b"".join(self._waiting.popleft() for _ in range(count))
+            self._waiting.appendleft(joined)
+        return self._waiting[0]
--- a/tests/observability/test_output.py
+++ b/tests/observability/test_output.py
@@ -41,6 +41,19 @@
             writer.write(f"line {number}")
         self.assertEqual(os.read(self.reader, 100), b"line 0\nline 1\nline 2\n")
 
+    def test_lines_wait_for_each_other(self):
+        """Lines are kept until there are enough of them, or somebody asks."""
+        os.set_blocking(self.reader, False)
+        writer = LineWriter(self.descriptor, batch_bytes=20)
+        writer.write("line 0")
+        with self.assertRaises(BlockingIOError):
+            os.read(self.reader, 100)
+        writer.flush()
+        self.assertEqual(os.read(self.reader, 100), b"line 0\n")
+        for number in range(3):
+            writer.write(f"line {number}")
+        self.assertEqual(os.read(self.reader, 100), b"line 0\nline 1\nline 2\n")
+
     def test_stalled_reader_costs_lines_and_no_time(self):
         """With nobody reading, lines beyond the bound are lost and nothing waits."""
         writer = LineWriter(self.descriptor, limit_bytes=10_000)
@@ -66,6 +79,26 @@
 
 
 class TestBoundedHandler(unittest.TestCase):
+    def test_warning_is_written_at_once(self):
+        """What may be a process's last words does not wait for others."""
+        reader, descriptor = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, descriptor)
+        os.set_blocking(reader, False)
+        writer = LineWriter(descriptor, batch_bytes=4_096)
+        handler = BoundedHandler(writer, LineBudget(), logbook.INFO)
+
+        def add_origin(record):
+            record.extra.update(instance="one", failure_domain="a")
+
+        log = logbook.Logger("part")
+        with logbook.Processor(add_origin), handler:
+            log.info("ready")
+            with self.assertRaises(BlockingIOError):
+                os.read(reader, 10_000)
+            log.warning("leader lost its quorum")
+        self.assertEqual(len(os.read(reader, 10_000).splitlines()), 2)
+
     def test_line_holds_the_fields_and_what_was_left_out(self):
         """A line is JSON with its fields, and tells of those before it."""
         reader, descriptor = os.pipe()
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -48,6 +48,23 @@
         self.addCleanup(process.kill)
         return process
 
+    def test_stop_while_it_loads_is_a_clean_end(self):
+        """SIGTERM before it serves ends it with 0, too."""
+        code = (
+            "import os, runpy, sys, time, types\n"
+            "daemon = types.ModuleType('agatethread_platform.daemon')\n"
+            "daemon.main = lambda: (os.kill(os.getpid(), 15), time.sleep(9))\n"
+            "sys.modules[daemon.__name__] = daemon\n"
+            "runpy.run_module('agatethread_platform', run_name='__main__')\n"
+        )
+        found = subprocess.run(
+            [sys.executable, "-c", code],
+            env=os.environ | {"PYTHONPATH": str(ROOT / "platform")},
+            timeout=LIMIT_S,
+            check=False,
+        )
+        self.assertEqual(found.returncode, 0)
+
     def test_starts_without_what_it_uses_later_or_never(self):
         """What is slow to load is not loaded before the first packet is served."""
         code = (
