--- a/benchmarks/control_world.py
+++ b/benchmarks/control_world.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import shutil
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from agatethread.control import LogStorage, PeerCalls, RaftNode, Role
 from agatethread.exceptions import DiskFullError, NotLeaderError, UnavailableError
@@ -14,6 +16,51 @@
 _CALL_TIMEOUT_S = 0.6
 
 
+async def call_over(
+    network: Network, source: str, target: str, serve: Callable[[], Any]
+) -> Any:
+    """Make a call between two instances over a faulty network.
+
+    Parameters
+    ----------
+    network : Network
+        Carries the request and the reply.
+    source, target : str
+        Names of the instances.
+    serve : callable
+        Answers at the target; None where nobody does.
+
+    Returns
+    -------
+    object
+        The reply.
+
+    Raises
+    ------
+    UnavailableError
+        If none came in time.
+    """
+    reply = asyncio.get_running_loop().create_future()
+
+    def give_back(result) -> None:
+        if not reply.done():
+            reply.set_result(result)
+
+    def arrive() -> None:
+        try:
+            result = serve()
+        except DiskFullError:
+            return
+        if result is not None:
+            network.send(target, source, lambda: give_back(result))
+
+    network.send(source, target, arrive)
+    try:
+        return await asyncio.wait_for(reply, _CALL_TIMEOUT_S)
+    except TimeoutError:
+        raise UnavailableError(target) from None
+
+
 @dataclass
 class Acknowledged:
     """A change and the outcome that its operator was given."""
@@ -108,27 +155,11 @@
         return PeerCalls(caller("on_vote"), caller("on_append"), caller("on_snapshot"))
 
     async def _call(self, source: str, target: str, method: str, request):
-        reply = asyncio.get_running_loop().create_future()
-
-        def give_back(result) -> None:
-            if not reply.done():
-                reply.set_result(result)
-
-        def serve() -> None:
+        def serve():
             node = self.nodes.get(target)
-            if node is None:
-                return
-            try:
-                result = getattr(node, method)(request)
-            except DiskFullError:
-                return
-            self.network.send(target, source, lambda: give_back(result))
+            return None if node is None else getattr(node, method)(request)
 
-        self.network.send(source, target, serve)
-        try:
-            return await asyncio.wait_for(reply, _CALL_TIMEOUT_S)
-        except TimeoutError:
-            raise UnavailableError(target) from None
+        return await call_over(self.network, source, target, serve)
 
     # -- operators ----------------------------------------------------------------
 
--- a/benchmarks/member_world.py
+++ b/benchmarks/member_world.py
@@ -16,12 +16,12 @@
 from agatethread.control._identity import claim_name
 from agatethread.control._member_keeper import MemberKeeper
 from agatethread.control._members import voter_names
-from agatethread.exceptions import AgatethreadError, DiskFullError, UnavailableError
+from agatethread.exceptions import AgatethreadError
 from agatethread.settings import ControlSettings
 from agatethread.wire.control_pb2 import Command, ControlMember, PutRoutes
+from benchmarks.control_world import call_over
 from benchmarks.operations_world import Network
 
-_CALL_TIMEOUT_S = 0.6
 _MANAGE_INTERVAL_S = 0.25
 _CHANGE_LIMIT_S = 2.5
 _READ_LIMIT_S = 0.8
@@ -185,32 +185,19 @@
         return PeerCalls(*(caller(method) for method in methods))
 
     async def _call(self, source: str, target: str, method: str, request):
-        reply = asyncio.get_running_loop().create_future()
-
-        def give_back(result) -> None:
-            if not reply.done():
-                reply.set_result(result)
-
-        def serve() -> None:
+        def serve():
             node = self.nodes.get(target)
             if node is None:
-                return
+                return None
             if method == "on_join":
-                result = self._keepers[target].on_join(request.member)
-            elif request.receiver != node.name:
-                return
-            else:
-                try:
-                    result = getattr(node, method)(request)
-                except DiskFullError:
-                    return
-            self.network.send(target, source, lambda: give_back(result))
-
-        self.network.send(source, target, serve)
-        try:
-            return await asyncio.wait_for(reply, _CALL_TIMEOUT_S)
-        except TimeoutError:
-            raise UnavailableError(target) from None
+                return self._keepers[target].on_join(request.member)
+            return (
+                getattr(node, method)(request)
+                if request.receiver == node.name
+                else None
+            )
+
+        return await call_over(self.network, source, target, serve)
 
     # -- operators ----------------------------------------------------------------
 
--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -9,6 +9,7 @@
 
 from mode import Service
 
+from agatethread.control._ballot import Ballot, LogEnd
 from agatethread.control._disk_health import DiskHealth
 from agatethread.control._followers import Confirmations, Follower
 from agatethread.control._log import ReplicatedLog
@@ -19,6 +20,7 @@
     replicated_index,
     voter_names,
 )
+from agatethread.control._proposals import Proposals
 from agatethread.control._roles import PeerCalls, Role
 from agatethread.control._state import DocumentState
 from agatethread.control._storage import LogStorage
@@ -30,7 +32,6 @@
     AppendRequest,
     ControlMember,
     ControlState,
-    HardState,
     LogEntry,
     Members,
     Outcome,
@@ -105,22 +106,16 @@
             lambda names: has_majority(self.members, [self.name, *names])
         )
         self._disk = DiskHealth(now_s)
-        self._waiting: dict[int, tuple[int, asyncio.Future[Outcome]]] = {}
+        self._proposals = Proposals()
         self._commit_to(min(self._recovered_commit_index, self.last_index))
 
     def _recover(self) -> None:
         recovered = self._storage.recover()
-        self.term = recovered.hard_state.term
-        self._voted_for = recovered.hard_state.voted_for
+        self._ballot = Ballot(self._storage, recovered.hard_state)
         self.documents.restore(recovered.snapshot)
         self._log = ReplicatedLog(self._storage, recovered.snapshot, recovered.entries)
         self.commit_index = self._log.base_index
-        # An empty disk may be a lost one, that forgot its votes and entries. Until a
-        # leader has filled it, it votes only for a log that never held anything, and
-        # such a log needs every member's vote: one that holds entries says no.
-        self._may_vote = recovered.hard_state.may_vote
         self._recovered_commit_index = recovered.commit_index
-        self._member_name = recovered.hard_state.member_name
         self._static_members = Members(
             members=[
                 ControlMember(name=name, voter=True)
@@ -169,21 +164,10 @@
         """
         return self._log.between(self._log.base_index, self.commit_index)
 
-    def _save_hard_state(self, term: int, voted_for: str) -> None:
-        hard_state = HardState(
-            term=term,
-            voted_for=voted_for,
-            may_vote=self._may_vote,
-            member_name=self._member_name,
-        )
-        self._storage.save_hard_state(hard_state)
-        self.term = term
-        self._voted_for = voted_for
-
-    def _allow_vote(self) -> None:
-        if not self._may_vote:
-            self._may_vote = True
-            self._save_hard_state(self.term, self._voted_for)
+    @property
+    def term(self) -> int:
+        """The newest term that this member knows."""
+        return self._ballot.term
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Be told after committed entries have been applied.
@@ -203,7 +187,7 @@
 
     @property
     def _votes_needed(self) -> int:
-        if self._may_vote:
+        if self._ballot.may_vote:
             return self._majority
         return len(voter_names(self.members))
 
@@ -251,7 +235,7 @@
 
         self.role = Role.CANDIDATE
         self.leader = ""
-        self._save_hard_state(self.term + 1, self.name)
+        self._ballot.stand(self.name)
         term = self.term
         won = await self._collect_votes(term, pre_vote=False)
         is_current = self.role is Role.CANDIDATE and self.term == term
@@ -293,7 +277,7 @@
 
     def _adopt_term(self, term: int) -> None:
         if term > self.term:
-            self._save_hard_state(term, "")
+            self._ballot.adopt(term)
             self._become_follower("")
 
     def _become_follower(self, leader: str) -> None:
@@ -308,7 +292,7 @@
         self.role = Role.LEADER
         self.leader = self.name
         self._disk.succeed()
-        self._allow_vote()
+        self._ballot.allow()
         self._followers.clear()
         # An entry of its own term lets it commit those of earlier terms.
         self._log.append([LogEntry(index=self.last_index + 1, term=self.term)])
@@ -344,14 +328,8 @@
 
         if request.term > self.term:
             self._adopt_term(request.term)
-        granted = (
-            request.term == self.term
-            and self._voted_for in ("", request.candidate)
-            and self._is_up_to_date(request)
-            and self._can_vote_for(request)
-        )
+        granted = self._ballot.vote(request, self._log_end)
         if granted:
-            self._save_hard_state(self.term, request.candidate)
             self._waiting_since_s = self._now_s()
         return VoteReply(term=self.term, granted=granted)
 
@@ -363,16 +341,12 @@
         return (
             not has_leader
             and request.term > self.term
-            and self._is_up_to_date(request)
-            and self._can_vote_for(request)
+            and self._ballot.would_vote(request, self._log_end)
         )
 
-    def _is_up_to_date(self, request: VoteRequest) -> bool:
-        mine = (self._log.term_at(self.last_index), self.last_index)
-        return (request.last_term, request.last_index) >= mine
-
-    def _can_vote_for(self, request: VoteRequest) -> bool:
-        return self._may_vote or request.last_index == 0
+    @property
+    def _log_end(self) -> LogEnd:
+        return (self._log.term_at(self.last_index), self.last_index)
 
     # -- replication --------------------------------------------------------------
 
@@ -493,7 +467,7 @@
 
         self._write_new(list(request.entries))
         match = request.previous_index + len(request.entries)
-        self._allow_vote()
+        self._ballot.allow()
         self._commit_to(min(request.commit_index, match))
         return AppendReply(term=self.term, success=True, match_index=match)
 
@@ -537,7 +511,7 @@
             self.commit_index = snapshot.last_index
             self._refresh_members()
             self._tell_listeners()
-        self._allow_vote()
+        self._ballot.allow()
         match = max(request.last_index, self.commit_index)
         return AppendReply(term=self.term, success=True, match_index=match)
 
@@ -550,7 +524,7 @@
             outcome = self.documents.apply(entry.index, entry.term, entry.command)
             if entry.HasField("members"):
                 self.documents.members.CopyFrom(entry.members)
-            self._answer_waiting(entry, outcome)
+            self._proposals.answer(entry, outcome, self.leader)
         self.commit_index = index
         self._compact()
         try:
@@ -562,22 +536,11 @@
             log.info(Event.LEADER_NO_VOTER, term=self.term)
             self._become_follower("")
 
-    def _answer_waiting(self, entry: LogEntry, outcome: Outcome) -> None:
-        term, waiting = self._waiting.pop(entry.index, (0, None))
-        if waiting is None or waiting.done():
-            return
-        if term == entry.term:
-            waiting.set_result(outcome)
-        else:
-            waiting.set_exception(NotLeaderError(self.leader))
-
     def _fail_waiting(self) -> None:
-        waiting_for = [waiting for _, waiting in self._waiting.values()]
-        waiting_for += self._confirmations.drain()
-        for waiting in waiting_for:
+        self._proposals.fail(self.leader)
+        for waiting in self._confirmations.drain():
             if not waiting.done():
                 waiting.set_exception(NotLeaderError(self.leader))
-        self._waiting.clear()
 
     def _compact(self) -> None:
         applied_count = self.commit_index - self._log.base_index
@@ -670,8 +633,7 @@
         if entry.HasField("members"):
             self._refresh_members()
             self._follow_members()
-        waiting = asyncio.get_running_loop().create_future()
-        self._waiting[entry.index] = (self.term, waiting)
+        waiting = self._proposals.wait_for(entry)
         self._wake_all()
         self._advance_commit()
         return await waiting
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -13,6 +13,7 @@
 
 from mode import Service
 
+from agatethread.control._hints import HintKeeper
 from agatethread.control._identity import claim_name
 from agatethread.control._member_keeper import MemberKeeper
 from agatethread.control._members import find_member
@@ -34,7 +35,6 @@
     RunTable,
     Subscription,
     load_runs,
-    save_runs,
 )
 from agatethread.routing import RoutingDocument, check_document, encode_table
 from agatethread.settings import format_address, listen_address, parse_address
@@ -95,9 +95,6 @@
         self._change_s = Histogram()
         self._keeper: MemberKeeper | None = None
         self._offered_version = 0
-        self._remembering = False
-        #: Index of the runs' changes and commit index that the disk holds.
-        self._remembered = (0, 0)
         self._started_s = self.timers.now_s()
         self._registry_port = parse_address(settings.registry)[1]
         self._target_port = parse_address(settings.target)[1]
@@ -146,7 +143,10 @@
         self.timers.subscribe(_URGENT_INTERVAL_S, self.subscription.knock_urgently)
         self.timers.subscribe(_FLUSH_INTERVAL_S, self.hub.flush)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self.runs.sweep)
-        self.timers.subscribe(_REMEMBER_INTERVAL_S, self._remember)
+        hints = HintKeeper(
+            self.settings.data_dir, self.runs, lambda: self.node, self.add_future
+        )
+        self.timers.subscribe(_REMEMBER_INTERVAL_S, hints.save)
         self.timers.subscribe(_MEMBERS_INTERVAL_S, self._manage_members)
         self.subscription.poll()
         self.add_future(self._open_log())
@@ -377,27 +377,6 @@
             self.counters["spread_incomplete"] += 1
             log.warning(Event.NOT_SPREAD, what=what, run=run_id)
 
-    def _remember(self) -> None:
-        commit_index = self.node.commit_index if self.node else 0
-        now = (self.runs.changed_index, commit_index)
-        if not self._remembering and now != self._remembered:
-            self._remembering = True
-            self.add_future(self._write_hints(now))
-
-    async def _write_hints(self, now: tuple[int, int]) -> None:
-        folder, runs = self.settings.data_dir, self.runs.snapshot()
-        try:
-            # In threads: a slow disk must not hold up reports.
-            if now[0] != self._remembered[0]:
-                await asyncio.to_thread(save_runs, folder, runs)
-            if now[1] != self._remembered[1]:
-                await asyncio.to_thread(self.node.sync_commit_index)
-            self._remembered = now
-        except (OSError, DiskFullError) as error:
-            log.warning(Event.HINTS_NOT_SAVED, error=str(error))
-        finally:
-            self._remembering = False
-
     def _is_settled(self) -> bool:
         up_s = self.timers.now_s() - self._started_s
         if up_s > _SETTLED_INTERVALS * self.settings.report_interval_s:
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -7,11 +7,11 @@
 """
 
 import random
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from agatethread.observability import Counters, Event, make_logger
+from agatethread.registry._chunks import ChunkedTable
 from agatethread.registry._presence import DomainView, merge_counts
 from agatethread.wire.registry_pb2 import (
     PRESENCE_UNKNOWN,
@@ -81,14 +81,6 @@
         self.reporting.clear()
 
 
-@dataclass
-class _ChunkedTable:
-    """A routing table that is arriving in parts."""
-
-    version: int
-    parts: list[bytes | None]
-
-
 class Subscription:
     """Follows control instances and hands on what they say.
 
@@ -134,7 +126,7 @@
         self._on_run = on_run
         self._on_routes = on_routes
         self._counters = counters
-        self._arriving: _ChunkedTable | None = None
+        self._arriving = ChunkedTable()
         #: What polls say of this process, where it is an entry instance.
         self.presence: Presence = PRESENCE_UNKNOWN
         self.routes_version = 0
@@ -342,17 +334,9 @@
         if not 0 <= chunk.number < chunk.count:
             self._counters["registry_unreadable"] += 1
             return
-        arriving = self._arriving
-        if arriving is None or arriving.version < chunk.version:
-            arriving = _ChunkedTable(chunk.version, [None] * chunk.count)
-            self._arriving = arriving
-        if arriving.version != chunk.version or len(arriving.parts) != chunk.count:
-            return
-        arriving.parts[chunk.number] = chunk.data
-        if None in arriving.parts:
+        table = self._arriving.add(chunk)
+        if table is None:
             return
-        self._arriving = None
-        table = RoutingTable.FromString(zlib.decompress(b"".join(arriving.parts)))
         self.routes_version = table.version
         self._on_routes(table)
         self._send_poll(link, wants_reply=False)
--- a/tests/control/test_raft.py
+++ b/tests/control/test_raft.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from agatethread.control import RaftNode, Role
+from agatethread.control._ballot import Ballot
 from agatethread.exceptions import DiskFullError
 from agatethread.wire.control_pb2 import VoteRequest
 from benchmarks.control_world import ControlWorld
@@ -259,8 +260,12 @@
             return [n for n in world.nodes.values() if n.role is Role.LEADER]
 
         self.assertEqual(self.run_world(scenario), [])
-        weakened = mock.patch.object(RaftNode, "_can_vote_for", lambda *_: True)
-        majority = mock.patch.object(RaftNode, "_allow_vote", lambda *_: None)
+        weakened = mock.patch.object(
+            Ballot,
+            "would_vote",
+            lambda _, request, end: (request.last_term, request.last_index) >= end,
+        )
+        majority = mock.patch.object(Ballot, "allow", lambda *_: None)
         recovered = mock.patch.object(
             RaftNode, "_votes_needed", property(lambda node: node._majority)
         )
