--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -171,10 +171,13 @@
             Event.BACKEND_AVOIDED,
             run=self.id,
             failures=self.failures,
-            last_answer_ago_s=round(now_s - self.answered_s, 3),
+            last_answer_ago_s=self._answered_ago_s(now_s),
             pause_s=pause_s,
         )
 
+    def _answered_ago_s(self, now_s: float) -> float | None:
+        return round(now_s - self.answered_s, 3) if self.answered_s else None
+
     def start_trial(self, now_s: float) -> None:
         """Let nobody else try it until this opening shows whether it answers.
 
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -41,8 +41,6 @@
 _CHECK_INTERVAL_S = 0.1
 #: Pause between two questions of a stopping instance whether it may leave.
 _ASK_INTERVAL_S = 0.1
-#: Routers ask each half second, so they send packets at the latest by then.
-_ROTATION_S = 0.6
 
 log = make_logger("entry")
 
@@ -142,7 +140,6 @@
         )
         self.subscription.presence = PRESENCE_AWAY
         self._heard_control_s = 0.0
-        self._ready_since_s = float("inf")
         self.is_ready = False
 
     async def on_start(self) -> None:
@@ -174,7 +171,6 @@
         )
         self.readiness.stopping = True
         self._check_ready()
-        self.subscription.poll()
         await asyncio.sleep(departure.notice_s)
 
     async def _wait_for_turn(self, departure: Departure) -> float:
@@ -219,15 +215,16 @@
                 backends=len(self.view),
                 controls=len(self.subscription.live()),
             )
-            self._ready_since_s = self.timers.now_s() if ready else float("inf")
         self.is_ready = ready
         self._note_presence()
 
     def _note_presence(self) -> None:
         if self.subscription.presence == PRESENCE_LEAVING and self.is_ready:
             return
-        in_use = self.timers.now_s() - self._ready_since_s >= _ROTATION_S
-        self.subscription.presence = PRESENCE_SERVING if in_use else PRESENCE_AWAY
+        presence = PRESENCE_SERVING if self.is_ready else PRESENCE_AWAY
+        if presence != self.subscription.presence:
+            self.subscription.presence = presence
+            self.subscription.poll()
 
     # -- state --------------------------------------------------------------------
 
--- a/src/agatethread/datapath/_leaving.py
+++ b/src/agatethread/datapath/_leaving.py
@@ -3,7 +3,8 @@
 The load that this answers is a rolling restart. Each instance is out of the routers'
 choice for about 2.3 s, also if its successor is told to stop after 1.2 s. With more
 than half of a failure domain out, the routers send to all its instances, so also to
-the one whose process has just ended: those packets are lost.
+the one whose process has just ended: those packets are lost. So one goes when the one
+before it is up again; routers notice its going later than the other's coming.
 """
 
 from collections.abc import Callable
@@ -17,6 +18,10 @@
 _GRACE_RATIO = 0.6
 #: Left over of the time until it is killed, for ending what is open.
 _MARGIN_S = 0.8
+#: Longest wait for others. An instance has to be out of the routers' choice 4 s after
+#: it was told to stop (a hunted day of the users' bench counts it as serving on), and
+#: they need a second to notice; a start takes 0.9 s.
+_LONGEST_WAIT_S = 2.0
 #: No control instance answers within three polls: nobody can be asked.
 _UNANSWERED_S = 0.3
 #: Share of a failure domain's instances that may be out at a time. Half of them is
@@ -41,7 +46,9 @@
         self.asked_s = now_s()
         #: How long it goes on to forward afterwards.
         self.notice_s = min(NOTICE_S, _GRACE_RATIO * grace_s)
-        self._longest_wait_s = grace_s - self.notice_s - _MARGIN_S
+        self._longest_wait_s = min(
+            _LONGEST_WAIT_S, grace_s - self.notice_s - _MARGIN_S
+        )
 
     def may_go(self, domain: DomainView | None) -> bool:
         """Decide.
