--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -186,7 +186,9 @@
         """Send a signal to a machine's process."""
         if machine.process is None:
             return
-        if number in (signal.SIGTERM, signal.SIGKILL):
+        # A process that was killed ends by that, whatever it is sent afterwards.
+        is_killed = machine.ending is signal.SIGKILL
+        if number in (signal.SIGTERM, signal.SIGKILL) and not is_killed:
             machine.ending = number
             machine.ending_s = time.monotonic()
         if number is signal.SIGSTOP:
