--- a/soak/operator.py
+++ b/soak/operator.py
@@ -106,6 +106,7 @@
         return {
             "host": host,
             "path_prefix": f"/{port}/",
+            "route_type": "idempotent" if service == "alpha" else "non_idempotent",
             "timeout_ms": self._random.randrange(500, 5_000),
             "service": service,
         }
