--- a/src/agatethread/observability/_logging.py
+++ b/src/agatethread/observability/_logging.py
@@ -78,8 +78,10 @@
         record : logbook.LogRecord
             The record.
         """
-        reason = record.kwargs.get("why", "")
-        left_out = self._budget.take(f"{record.channel} {record.message} {reason}")
+        # `record.message` would be formatted with all fields, for nothing: no event has
+        # places for them.
+        kind = (record.channel, record.msg, record.kwargs.get("why"))
+        left_out = self._budget.take(kind)
         if left_out is None:
             return
         if left_out:
--- a/src/agatethread/observability/_output.py
+++ b/src/agatethread/observability/_output.py
@@ -4,7 +4,7 @@
 import stat
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 #: Lines of one kind written in a second. A busy entry instance places some tens of
 #: flows a second. A line takes 13 us of processor time (benchmarks.log_cost), so this
@@ -38,15 +38,15 @@
         self._now_s = now_s
         self._rate_per_s = rate_per_s
         self._burst = burst
-        self._left: dict[str, tuple[float, float]] = {}
-        self._left_out: dict[str, int] = {}
+        self._left: dict[Hashable, tuple[float, float]] = {}
+        self._left_out: dict[Hashable, int] = {}
 
-    def take(self, kind: str) -> int | None:
+    def take(self, kind: Hashable) -> int | None:
         """Ask whether a line may be written.
 
         Parameters
         ----------
-        kind : str
+        kind : hashable
             The line's kind.
 
         Returns
