--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -8,6 +8,7 @@
 from agatethread.registry._presence import count_domain
 from agatethread.registry._runs import RunTable
 from agatethread.wire.registry_pb2 import (
+    PRESENCE_LEAVING,
     PRESENCE_UNKNOWN,
     BackendRun,
     ControlNode,
@@ -194,11 +195,15 @@
     def _add_reply(self, delta: Delta, subscriber: _Subscriber, address: bytes) -> None:
         delta.controls.extend(self.controls())
         delta.hub.hears_leader = self._hears_leader()
-        if subscriber.presence != PRESENCE_UNKNOWN:
+        if subscriber.presence == PRESENCE_LEAVING:
+            # Only then it is asked for; counting costs a look at every subscriber.
             counts = count_domain(self._subscribers, address, self._now_s())
             delta.hub.domain.CopyFrom(counts)
 
     def _deltas_after(self, after: int, with_reports: bool) -> list[Delta]:
+        newest = self._runs.index if with_reports else self._runs.changed_index
+        if after >= newest:
+            return []
         messages: list[Delta] = []
         runs: list[BackendRun] = []
         size, last = 0, after
--- a/tests/registry/test_spreading.py
+++ b/tests/registry/test_spreading.py
@@ -2,6 +2,7 @@
 import random
 import unittest
 import zlib
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -271,6 +272,21 @@
         world.step(20)
         self.assertEqual([table.version for table in world.tables], [7])
 
+    def test_subscriber_that_has_everything_costs_no_search(self):
+        """An idle subscriber is answered without looking through all runs."""
+        world = World(("a",))
+        for number in range(1, 300):
+            world.table(0).report(report(number, place=number))
+        world.step(60)
+        self.assertEqual(len(world.told()), 299)
+        with mock.patch.object(
+            RunTable, "changes_after", side_effect=AssertionError
+        ) as search:
+            world.entry.poll()
+            world.deliver()
+            world.hub(0).flush()
+        search.assert_not_called()
+
     def test_idle_traffic_is_bounded(self):
         """With nothing new, an entry instance and its hubs say little."""
         world = World()
