--- a/src/agatethread/membership/_prober.py
+++ b/src/agatethread/membership/_prober.py
@@ -96,10 +96,12 @@
 
     def _rejoin(self) -> None:
         # A healed cut is found by asking instances thought dead; both sides of it
-        # learn all there is from one exchange.
+        # learn all there is from one exchange. A seed that is no member yet was not
+        # listening when this instance started, and nobody else may know of it: groups
+        # that started apart would stay apart.
         candidates = [member.address for member in self._table.dead()]
-        if not self._table.live_peers():
-            candidates += self._seeds
+        known = {member.address for member in self._table.members.values()}
+        candidates += [seed for seed in self._seeds if seed not in known]
         if candidates:
             self._send_join(self._random.choice(candidates))
 
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -111,7 +111,7 @@
 class Fleet:
     """Probers of several instances in virtual time, with a network between."""
 
-    def __init__(self, count):
+    def __init__(self, count, seeds=(1,)):
         self.cut = set()
         self.tables, self.probers, self.timers = {}, {}, {}
         for number in range(1, count + 1):
@@ -123,7 +123,7 @@
                 table,
                 timers,
                 lambda target, peer, me=number: self.send(me, target, peer),
-                [member(1).address],
+                [member(seed).address for seed in seeds],
                 0.2,
                 0.5,
                 Counters(),
@@ -156,9 +156,10 @@
 
 
 class TestProber(unittest.TestCase):
-    def run_fleet(self, scenario, count=5):
+    def run_fleet(self, scenario, count=5, seeds=(1,), isolated=()):
         async def main():
-            fleet = Fleet(count)
+            fleet = Fleet(count, seeds)
+            fleet.isolate(*isolated)
             for prober in fleet.probers.values():
                 await prober.start()
             await asyncio.sleep(3)
@@ -216,3 +217,15 @@
                 self.assertEqual(fleet.live(number), [1, 2, 3, 4, 5])
 
         self.run_fleet(scenario)
+
+    def test_groups_that_never_met_find_each_other(self):
+        """Instances whose first words to the other seed were lost ask it again."""
+
+        async def scenario(fleet):
+            self.assertEqual((fleet.live(1), fleet.live(3)), ([1, 2], [3, 4]))
+            fleet.cut = set()
+            await asyncio.sleep(5)
+            for number in fleet.tables:
+                self.assertEqual(fleet.live(number), [1, 2, 3, 4])
+
+        self.run_fleet(scenario, count=4, seeds=(1, 3), isolated=(1, 2))
