--- a/soak/backend.py
+++ b/soak/backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+import time
 from collections.abc import Callable
 
 from agatethread.settings import parse_address
@@ -27,7 +28,7 @@
 
 
 class BackendServer(asyncio.DatagramProtocol):
-    """One backend server at an address; each start is a new run.
+    """One backend server at an address; each start is a new run, of a new id or not.
 
     Parameters
     ----------
@@ -64,6 +65,8 @@
         self._reporting: asyncio.Task | None = None
         self._flows: dict[FlowKey, int] = {}
         self.run_id = ""
+        self._sequence = 0
+        self._started_ms = 0
         self.alive = False
         self.draining = False
         self.drain_known_s = float("inf")
@@ -76,9 +79,12 @@
 
     # -- life ---------------------------------------------------------------------
 
-    async def start(self) -> None:
-        """Start a new run."""
-        self.run_id = f"i-{secrets.token_hex(5)}"
+    async def start(self, keeps_id: bool = False) -> None:
+        """Start a new run, under a new id or the one before."""
+        if not keeps_id:
+            self.run_id = f"i-{secrets.token_hex(5)}"
+        self._sequence = 0
+        self._started_ms = max(self._started_ms + 1, time.time_ns() // 1_000_000)
         self.draining = False
         self.drain_known_s = float("inf")
         self._flows.clear()
@@ -117,20 +123,32 @@
             await self._report(0.0)
             await asyncio.sleep(REPORT_INTERVAL_S)
 
+    def _status(self, warm_up_s: float) -> dict[str, object]:
+        return {
+            "service": self.service,
+            "address": self._address,
+            "zone": f"domain-{self.number % 3}",
+            "version": "v1",
+            "capacity": 2,
+            "state": "draining" if self.draining else "ready",
+            "warmup_remaining_ms": int(warm_up_s * 1000),
+            "sequence": self._sequence,
+            "born": self._started_ms,
+        }
+
+    async def send_foreign(self, **fields: object) -> None:
+        """Let another writer report under this server's id; it must be refused."""
+        status = self._status(0.0) | {"sequence": self._sequence + 1_000} | fields
+        body = to_json({name: value for name, value in status.items() if value != ""})
+        address = self._control()[0]
+        reply = await call(address, "PUT", f"/api/endpoints/{self.run_id}", body)
+        if reply.status // 100 == 2:
+            detail = f"{self.run_id} {fields}"
+            self._promises.broken("reports of another writer are refused", detail)
+
     async def _report(self, warm_up_s: float) -> bool:
-        self._sequence = getattr(self, "_sequence", 0) + 1
-        body = to_json(
-            {
-                "service": self.service,
-                "address": self._address,
-                "zone": f"domain-{self.number % 3}",
-                "version": "v1",
-                "capacity": 2,
-                "state": "draining" if self.draining else "ready",
-                "warmup_remaining_ms": int(warm_up_s * 1000),
-                "sequence": self._sequence,
-            }
-        )
+        self._sequence += 1
+        body = to_json(self._status(warm_up_s))
         for address in self._control():
             reply = await call(address, "PUT", f"/api/endpoints/{self.run_id}", body)
             if reply.status // 100 == 2:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,20 @@
 
 #: Planned work, which disturbs no promise.
 _PLANNED = {"replace a server", "race changes", "resend a change"}
+#: A restart by a supervisor that does not wait.
+_AT_ONCE_S = 0.05
+#: Fields of reports that no server sends; an empty text leaves the field out.
+_FOREIGN: tuple[dict[str, object], ...] = (
+    {"state": "gone"},
+    {"state": True},
+    {"capacity": "2"},
+    {"sequence": 1 << 70},
+    {"born": 17.5},
+    {"born": True},
+    {"address": ""},
+    {"zone": 7},
+    {"service": ["alpha"]},
+)
 
 Fault = Callable[[], Awaitable[None]]
 
@@ -55,6 +69,8 @@
         self._operator = operator
         self._promises = promises
         self._random = random.Random(seed)
+        #: Draws of its own, so that seeds still draw the faults that they drew.
+        self._restarts = random.Random(f"restarts {seed}")
         self._disk_lost_s = float("-inf")
         self.counts: dict[str, int] = {}
         self._faults: dict[str, Fault] = {
@@ -204,8 +220,19 @@
         if not server.alive or server.draining:
             return
         server.crash()
-        await asyncio.sleep(self._some_s())
-        await server.start()
+        gone_s = self._some_s()
+        is_back_at_once = self._restarts.random() < 0.5
+        await asyncio.sleep(_AT_ONCE_S if is_back_at_once else gone_s)
+        await server.start(keeps_id=self._restarts.random() < 0.5)
+
+    async def send_foreign(self) -> None:
+        """Let another writer report under a server's id, which disturbs nothing."""
+        server = self._restarts.choice(self._servers)
+        if not server.alive:
+            return
+        self.counts["foreign reports"] = self.counts.get("foreign reports", 0) + 1
+        for fields in _FOREIGN:
+            await server.send_foreign(**fields)
 
     async def _replace_server(self) -> None:
         server = self._random.choice(self._servers)
--- a/soak/run.py
+++ b/soak/run.py
@@ -146,6 +146,7 @@
                 await self._play_round()
         finally:
             await self._end()
+            self.fleet.addresses.claim.close()
         self._fill_report()
         return self.report
 
@@ -174,7 +175,9 @@
     async def _play_round(self) -> None:
         self.report.rounds += 1
         series = [self._play_series() for _ in range(self._random.choice((1, 1, 2, 3)))]
-        await asyncio.gather(*series, self._change_meanwhile())
+        await asyncio.gather(
+            *series, self._change_meanwhile(), self.faults.send_foreign()
+        )
         await asyncio.sleep(_RECOVERY_S)
         await self._check_calm()
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -85,8 +85,10 @@
     async def asyncSetUp(self):
         self.promises = Promises()
         operator = Operator(list, self.promises, 1)
+        addresses = draw_addresses(7)
+        self.addCleanup(addresses.claim.close)
         self.server = BackendServer(
-            200, "alpha", draw_addresses(7), list, operator.allows, self.promises
+            200, "alpha", addresses, list, operator.allows, self.promises
         )
         await self.server.start()
         self.addCleanup(self.server.crash)
@@ -115,6 +117,18 @@
         self.assertEqual(self.take(ALPHA), [])
 
 
+class TestAddresses(unittest.TestCase):
+    def test_runs_with_one_seed_have_nets_of_their_own(self):
+        """What a run has claimed is free again when it is over."""
+        first, second = draw_addresses(7), draw_addresses(7)
+        self.addCleanup(second.claim.close)
+        self.assertNotEqual(first.net, second.net)
+        first.claim.close()
+        third = draw_addresses(7)
+        self.addCleanup(third.claim.close)
+        self.assertEqual(third.net, first.net)
+
+
 class TestTally(unittest.TestCase):
     def test_share_counts_requests_by_their_beginning(self):
         """Only requests begun in the time asked for count."""
