--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -45,7 +45,7 @@
     ControlMember,
     PutRoutes,
 )
-from agatethread.wire.registry_pb2 import BackendRun, RegistryMessage
+from agatethread.wire.registry_pb2 import BackendRun, RegistryMessage, RoutingTable
 
 if TYPE_CHECKING:
     from agatethread.control._log_port import LogPort
@@ -341,6 +341,7 @@
         if routes.version <= self._offered_version:
             return
         self._offered_version = routes.version
+        self.runs.services = frozenset(RoutingTable.FromString(routes.table).services)
         self.hub.offer_routes(RoutesOffer(routes.version, zlib.compress(routes.table)))
 
     # -- backend servers ----------------------------------------------------------
@@ -352,19 +353,31 @@
         ----------
         report : Report
             The report.
+
+        Raises
+        ------
+        ReportRefusedError
+            If another writer sent it.
         """
         if self.runs.report(report):
             await self._spread("report", report.id, report.draining)
 
-    async def end_run(self, run_id: str) -> None:
+    async def end_run(self, run_id: str, started_ms: int) -> None:
         """Note that a run has ended; when this returns, it may be acknowledged.
 
         Parameters
         ----------
         run_id : str
-            The run.
+            Its id.
+        started_ms : int
+            When it started; `START_NOT_TOLD` if that was not said.
+
+        Raises
+        ------
+        ReportRefusedError
+            If it is not clear which run has ended.
         """
-        if self.runs.leave(run_id):
+        if self.runs.leave(run_id, started_ms):
             await self._spread("leave", run_id, True)
 
     async def _spread(self, what: str, run_id: str, leaving: bool) -> None:
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -1,11 +1,12 @@
 """Backend servers as one entry instance knows them, and what it has seen of each."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from xxhash import xxh32_intdigest
 
 from agatethread.datapath._packets import FlowKey
 from agatethread.observability import Counters, Event, make_logger
+from agatethread.registry import START_NOT_TOLD
 from agatethread.wire import unpack_address
 from agatethread.wire.registry_pb2 import BackendRun
 
@@ -23,28 +24,38 @@
 #: waiting: the longest life of a flow.
 _ENDED_KEPT_S = 60.0
 
+#: Labels of earlier runs that lead to the newest run of an id. Flows live as long as
+#: `_ENDED_KEPT_S`; a backend server that starts more often in that time serves none.
+_MOST_EARLIER_LABELS = 8
 #: Flows that wait, remembered for each run: a few are enough to judge it by.
 _MOST_WAITING = 64
 
 log = make_logger("backends")
 
 
-def label_of(number: int) -> int:
-    """Derive the label that packets carry from the number of a run.
+def label_of(number: int, started_ms: int = START_NOT_TOLD) -> int:
+    """Derive the label that packets carry from the number and start of a run.
 
     Every entry instance derives the same, so none has to remember labels given out.
+    Each start has a label of its own: an instance that has not heard of a start yet
+    would else take its flows for those of the run before, and reset them.
 
     Parameters
     ----------
     number : int
-        64 bits that name the run.
+        64 bits that name the backend server.
+    started_ms : int, optional
+        When the run started.
 
     Returns
     -------
     int
         32 bits, never 0: a caller that knows no backend server sends 0.
     """
-    return xxh32_intdigest(number.to_bytes(8, "big")) or 1
+    data = number.to_bytes(8, "big")
+    if started_ms != START_NOT_TOLD:
+        data += started_ms.to_bytes(8, "big")
+    return xxh32_intdigest(data) or 1
 
 
 class Backend:
@@ -60,6 +71,7 @@
         "address",
         "answered_s",
         "draining",
+        "earlier_labels",
         "ended",
         "ended_s",
         "failure_domain",
@@ -75,6 +87,7 @@
         "service",
         "shares_label",
         "slots",
+        "started_ms",
         "told_s",
         "unreachable",
         "waiting",
@@ -85,7 +98,10 @@
     def __init__(self, run: BackendRun):
         self.id = run.id
         self.number = run.number
-        self.label = label_of(run.number)
+        self.started_ms = run.started_ms
+        self.label = label_of(run.number, run.started_ms)
+        #: Labels of earlier runs of its id, latest last.
+        self.earlier_labels: list[int] = []
         self.service = run.service
         self.address = unpack_address(run.address)
         self.failure_domain = run.failure_domain
@@ -244,8 +260,8 @@
     def take(self, run: BackendRun) -> None:
         """Take what a control instance says of a run.
 
-        States only go forward, so it does not matter in which order two control
-        instances are heard.
+        Runs of an id and their states only go forward, so it does not matter in which
+        order two control instances are heard.
 
         Parameters
         ----------
@@ -253,14 +269,20 @@
             Its state.
         """
         backend = self._by_id.get(run.id)
+        if backend is None and not run.service:
+            # Its end is all that is known; it can't be given work.
+            return
+        if backend is not None and run.started_ms < backend.started_ms:
+            return
         if backend is None:
-            if not run.service:
-                # Its end is all that is known; it can't be given work.
-                return
             backend = self._add(run)
-        elif run.sequence > backend.sequence:
-            backend.slots = max(1, run.slots)
+        elif run.started_ms > backend.started_ms:
+            backend = self._replace(backend, run)
+        self._refresh(backend, run)
+
+    def _refresh(self, backend: Backend, run: BackendRun) -> None:
         if run.sequence > backend.sequence:
+            backend.slots = max(1, run.slots)
             backend.sequence = run.sequence
             backend.warm_s = self._now_s() + run.warm_up_ms / 1000
         backend.told_s = self._now_s()
@@ -287,6 +309,33 @@
         self._log_change(backend, Event.RUN_KNOWN)
         return backend
 
+    def _replace(self, earlier: Backend, run: BackendRun) -> Backend:
+        """Take a later run of an id in place of the earlier one.
+
+        The earlier run's flows and counts are gone with it. Its label leads to the
+        later run: an instance that did not know of it yet has placed flows on it under
+        the earlier label, and those must not be reset. Of flows that it does not hold,
+        the backend server tells their callers itself.
+        """
+        if not earlier.ended:
+            self._end(earlier)
+        if not run.service:
+            # Only its end is known: nothing is left under this id.
+            earlier.started_ms = run.started_ms
+            return earlier
+        labels = [*earlier.earlier_labels, earlier.label]
+        self._drop_labels(earlier, labels)
+        backend = self._add(run)
+        backend.earlier_labels = labels[-_MOST_EARLIER_LABELS:]
+        for label in backend.earlier_labels:
+            self._by_label.setdefault(label, backend)
+        return backend
+
+    def _drop_labels(self, backend: Backend, labels: Iterable[int]) -> None:
+        for label in labels:
+            if self._by_label.get(label) is backend:
+                del self._by_label[label]
+
     def _end(self, backend: Backend) -> None:
         backend.ended = True
         backend.ended_s = self._now_s()
@@ -298,17 +347,18 @@
         log.info(
             event,
             run=backend.id,
+            started_ms=backend.started_ms,
             service=backend.service,
             sequence=backend.sequence,
         )
 
-    def judge(self, is_reporting: Callable[[str], bool]) -> None:
+    def judge(self, is_reporting: Callable[[str, int], bool]) -> None:
         """Note which runs control instances hold for alive; forget long ended ones.
 
         Parameters
         ----------
         is_reporting : callable
-            Tells it of a run's id.
+            Tells it of a run's id and start time.
         """
         oldest_s = self._now_s() - _ENDED_KEPT_S
         for backend in list(self._by_id.values()):
@@ -316,7 +366,7 @@
                 if backend.ended_s < oldest_s:
                     self._forget(backend)
                 continue
-            reporting = is_reporting(backend.id)
+            reporting = is_reporting(backend.id, backend.started_ms)
             if reporting != backend.reporting:
                 backend.reporting = reporting
                 event = Event.RUN_REPORTING if reporting else Event.RUN_SILENT
@@ -324,8 +374,7 @@
 
     def _forget(self, backend: Backend) -> None:
         del self._by_id[backend.id]
-        if self._by_label.get(backend.label) is backend:
-            del self._by_label[backend.label]
+        self._drop_labels(backend, (backend.label, *backend.earlier_labels))
 
     def dump(self) -> list[dict[str, object]]:
         """List the runs for a state dump.
@@ -338,6 +387,7 @@
         return [
             {
                 "id": backend.id,
+                "started_ms": backend.started_ms,
                 "service": backend.service,
                 "draining": backend.draining,
                 "ended": backend.ended,
--- a/src/agatethread/exceptions.py
+++ b/src/agatethread/exceptions.py
@@ -13,6 +13,7 @@
     "OperationRefusedError",
     "OperationUnknownError",
     "PayloadTooLargeError",
+    "ReportRefusedError",
     "RouteConflictError",
     "SealError",
     "SettingsError",
@@ -74,6 +75,23 @@
     """A route names a service that its document does not define."""
 
 
+class ReportRefusedError(AgatethreadError):
+    """A status report contradicts what is known, so another writer sent it.
+
+    Parameters
+    ----------
+    run_id : str
+        Id that the report names.
+    reason : str
+        What it contradicts.
+    """
+
+    def __init__(self, run_id: str, reason: str):
+        self.run_id = run_id
+        self.reason = reason
+        super().__init__(f"report of {run_id} not taken: {reason}")
+
+
 class SettingsError(ExceptionGroup):
     """All the faults of one settings file."""
 
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -31,7 +31,8 @@
     BACKEND_REPORTS = "backend server reports"
     BACKEND_STOPPED = "backend server stopped reporting"
     BACKEND_ENDED = "backend server ended"
-    REPORT_NOT_TAKEN = "report not taken: another run holds its address"
+    REPORT_NOT_TAKEN = "report not taken"
+    END_NOT_TAKEN = "end not taken: it may mean an earlier run"
     NOT_SPREAD = "not known everywhere in time"
 
     # What an instance knows and whether it serves.
@@ -112,10 +113,10 @@
         Event.FLOW_RESET: frozenset({"why", "flow", "label", "table_version"}),
         Event.PACKET_DROPPED: frozenset({"why", "flow", "label", "table_version"}),
         Event.DATAGRAM_FAILED: frozenset(),
-        Event.RUN_KNOWN: frozenset({"run", "service", "sequence"}),
-        Event.RUN_REPORTING: frozenset({"run", "service", "sequence"}),
-        Event.RUN_DRAINING: frozenset({"run", "service", "sequence"}),
-        Event.RUN_SILENT: frozenset({"run", "service", "sequence"}),
+        Event.RUN_KNOWN: frozenset({"run", "started_ms", "service", "sequence"}),
+        Event.RUN_REPORTING: frozenset({"run", "started_ms", "service", "sequence"}),
+        Event.RUN_DRAINING: frozenset({"run", "started_ms", "service", "sequence"}),
+        Event.RUN_SILENT: frozenset({"run", "started_ms", "service", "sequence"}),
         Event.BACKEND_AVOIDED: frozenset(
             {"run", "failures", "last_answer_ago_s", "pause_s"}
         ),
@@ -125,11 +126,18 @@
         Event.BACKEND_ANSWERS: frozenset({"run"}),
         Event.LABEL_SHARED: frozenset({"kept", "other"}),
         Event.BACKEND_REPORTS: frozenset(
-            {"run", "service", "sequence", "draining", "new"}
+            {"run", "started_ms", "service", "sequence", "draining", "new"}
+        ),
+        Event.BACKEND_STOPPED: frozenset(
+            {"run", "started_ms", "service", "last_report_ago_s"}
+        ),
+        Event.BACKEND_ENDED: frozenset(
+            {"run", "started_ms", "service", "sequence", "why"}
+        ),
+        Event.END_NOT_TAKEN: frozenset({"run", "started_ms", "ended_started_ms"}),
+        Event.REPORT_NOT_TAKEN: frozenset(
+            {"run", "started_ms", "why", "holder", "holder_heard_ago_s"}
         ),
-        Event.BACKEND_STOPPED: frozenset({"run", "service", "last_report_ago_s"}),
-        Event.BACKEND_ENDED: frozenset({"run", "service", "sequence", "why"}),
-        Event.REPORT_NOT_TAKEN: frozenset({"run", "holder", "holder_heard_ago_s"}),
         Event.NOT_SPREAD: frozenset({"what", "run"}),
         Event.TABLE_IN_FORCE: frozenset({"version", "version_before", "routes"}),
         Event.READY: frozenset({"version", "backends", "controls"}),
@@ -142,7 +150,7 @@
             {"version", "version_before", "index", "term", "took_s"}
         ),
         Event.CHANGE_OVERTAKEN: frozenset({"version", "version_held"}),
-        Event.CALL_REFUSED: frozenset({"path", "faults"}),
+        Event.CALL_REFUSED: frozenset({"path", "faults", "why"}),
         Event.CALL_NOT_ANSWERED: frozenset({"path", "why"}),
         Event.LEADER: frozenset({"term", "last_index"}),
         Event.LEADER_NO_MORE: frozenset({"term", "leader"}),
--- a/src/agatethread/registry/__init__.py
+++ b/src/agatethread/registry/__init__.py
@@ -3,12 +3,13 @@
 from agatethread.registry._hub import RegistryHub, RoutesOffer
 from agatethread.registry._memory import load_runs, save_runs
 from agatethread.registry._presence import DomainView
-from agatethread.registry._report import Report
+from agatethread.registry._report import START_NOT_TOLD, Report
 from agatethread.registry._runs import RunTable
 from agatethread.registry._subscription import HubLink, Subscription
 from agatethread.registry._transport import RegistryTransport, decode_message
 
 __all__ = [
+    "START_NOT_TOLD",
     "DomainView",
     "HubLink",
     "RegistryHub",
--- /dev/null
+++ b/src/agatethread/registry/_entries.py
@@ -0,0 +1,126 @@
+"""What a control instance keeps of each run, found by id, address and number."""
+
+from collections.abc import Iterator
+
+from agatethread.registry._report import Report
+from agatethread.wire.registry_pb2 import BackendRun
+
+
+class RunEntry:
+    """A run, and when it was heard of.
+
+    Parameters
+    ----------
+    run : BackendRun
+        What is known of it.
+    """
+
+    __slots__ = ("changed_index", "direct_index", "heard_s", "run")
+
+    def __init__(self, run: BackendRun):
+        self.run = run
+        self.heard_s = 0.0
+        #: Index of the last change that entry instances must know.
+        self.changed_index = 0
+        #: Index of the last report that came directly from the run.
+        self.direct_index = 0
+
+
+class RunIndex:
+    """The newest run of each id."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, RunEntry] = {}
+        self._by_number: dict[int, RunEntry] = {}
+        self._holders: dict[bytes, RunEntry] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __iter__(self) -> Iterator[RunEntry]:
+        return iter(list(self._by_id.values()))
+
+    def find(self, run_id: str) -> RunEntry | None:
+        """Find the newest run of an id."""
+        return self._by_id.get(run_id)
+
+    def find_holder(self, address: bytes, except_id: str) -> RunEntry | None:
+        """Find the run of another id that has not ended and holds an address."""
+        holder = self._holders.get(address)
+        return None if holder is None or holder.run.id == except_id else holder
+
+    def find_namesake(self, number: int, except_id: str) -> RunEntry | None:
+        """Find the run of another id that datagrams name by the same number."""
+        namesake = self._by_number.get(number)
+        is_none = namesake is None or namesake.run.id == except_id
+        return None if is_none else namesake
+
+    def add(self, run: BackendRun) -> RunEntry:
+        """Keep a run in place of an earlier one of its id."""
+        entry = self._by_id[run.id] = RunEntry(run)
+        if run.number:
+            self._by_number[run.number] = entry
+        if run.address and not run.ended:
+            self._holders[run.address] = entry
+        return entry
+
+    def free_address(self, entry: RunEntry) -> None:
+        """Let another run have the address of one that has ended."""
+        if self._holders.get(entry.run.address) is entry:
+            del self._holders[entry.run.address]
+
+    def forget(self, entry: RunEntry) -> None:
+        """Drop a run that ended long ago."""
+        del self._by_id[entry.run.id]
+        if self._by_number.get(entry.run.number) is entry:
+            del self._by_number[entry.run.number]
+
+
+def report_of(run: BackendRun) -> Report:
+    """Write what another control instance knows of a run as the run's report.
+
+    Parameters
+    ----------
+    run : BackendRun
+        The run.
+
+    Returns
+    -------
+    Report
+        The newest report that the other instance has of it.
+    """
+    return Report(
+        id=run.id,
+        started_ms=run.started_ms,
+        number=run.number,
+        service=run.service,
+        address=run.address,
+        failure_domain=run.failure_domain,
+        slots=run.slots,
+        sequence=run.sequence,
+        draining=run.draining,
+        warm_up_s=run.warm_up_ms / 1000,
+    )
+
+
+def run_of(report: Report) -> BackendRun:
+    """Make a run from what can't change while it lives.
+
+    Parameters
+    ----------
+    report : Report
+        Its first report.
+
+    Returns
+    -------
+    BackendRun
+        The run, not yet refreshed by the report.
+    """
+    return BackendRun(
+        id=report.id,
+        started_ms=report.started_ms,
+        number=report.number,
+        service=report.service,
+        address=report.address,
+        failure_domain=report.failure_domain,
+    )
--- a/src/agatethread/registry/_report.py
+++ b/src/agatethread/registry/_report.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+#: Start time of a run that does not tell it: older than any that is told.
+START_NOT_TOLD = 0
+
 
 @dataclass(frozen=True, slots=True)
 class Report:
@@ -10,7 +13,7 @@
     Attributes
     ----------
     id : str
-        Names the run: each start has a new one.
+        Names the backend server; with `started_ms`, one run of it.
     number : int
         64 bits that its datagrams are addressed with.
     service : str
@@ -27,6 +30,9 @@
         Whether it asks for no further work.
     warm_up_s : float
         How much longer it will be slow after its start.
+    started_ms : int
+        Start of the run, Unix milliseconds by its own clock; `START_NOT_TOLD` if it
+        does not say.
     """
 
     id: str
@@ -38,3 +44,4 @@
     sequence: int
     draining: bool = False
     warm_up_s: float = 0.0
+    started_ms: int = START_NOT_TOLD
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -1,13 +1,23 @@
-"""Every run of a backend server that this control instance has heard of.
+"""The newest run of every backend server that this control instance has heard of.
 
-Reports come directly or through another control instance, late, twice or out of order.
-A run only moves forward: from reporting to draining to ended.
+Reports come directly or through another control instance, late, twice or out of order;
+`_admission` decides what they tell. A run only moves forward, from reporting to
+draining to ended, and a later run of the same id replaces it with all that was known.
 """
 
 from collections.abc import Callable, Iterator
 
+from agatethread.exceptions import ReportRefusedError
 from agatethread.observability import Event, make_logger
-from agatethread.registry._report import Report
+from agatethread.registry._admission import (
+    KEPT_S,
+    Known,
+    Verdict,
+    end_is_of,
+    judge_report,
+)
+from agatethread.registry._entries import RunEntry, RunIndex, report_of, run_of
+from agatethread.registry._report import START_NOT_TOLD, Report
 from agatethread.wire.registry_pb2 import BackendRun
 
 #: Reporting intervals without a report before a run gets no new work. Two may be lost
@@ -16,27 +26,12 @@
 _SILENT_EXTRA_S = 1.0
 #: Reporting intervals after which another run may take an address that is still held.
 _HELD_INTERVALS = 1.5
-#: How long an ended run is remembered, so that a late report can't revive it. Longer
-#: than a delayed report can be under way, and than the flows of a run live.
-_ENDED_KEPT_S = 180.0
 #: A pause between two sweeps that means that this process did not run meanwhile.
 _PAUSE_S = 1.0
 
 log = make_logger("registry")
 
 
-class _Entry:
-    __slots__ = ("changed_index", "direct_index", "heard_s", "run")
-
-    def __init__(self, run: BackendRun):
-        self.run = run
-        self.heard_s = 0.0
-        #: Index of the last change that entry instances must know.
-        self.changed_index = 0
-        #: Index of the last report that came directly from the run.
-        self.direct_index = 0
-
-
 class RunTable:
     """Runs by id, each with the index of its last change.
 
@@ -52,8 +47,9 @@
         self._held_s = _HELD_INTERVALS * interval_s
         self._silent_s = _SILENT_INTERVALS * interval_s + _SILENT_EXTRA_S
         self._now_s = now_s
-        self._entries: dict[str, _Entry] = {}
-        self._holders: dict[bytes, _Entry] = {}
+        self._entries = RunIndex()
+        #: Names of the configured services; empty while none is known.
+        self.services: frozenset[str] = frozenset()
         self._swept_s = now_s()
         self.index = 0
         #: Index of the last change that entry instances must know.
@@ -75,7 +71,7 @@
         BackendRun or None
             What is known of it.
         """
-        entry = self._entries.get(run_id)
+        entry = self._entries.find(run_id)
         return entry.run if entry else None
 
     # -- reports ------------------------------------------------------------------
@@ -92,13 +88,19 @@
         -------
         bool
             Whether entry instances must be told of it.
+
+        Raises
+        ------
+        ReportRefusedError
+            If another writer sent it under this id; nothing was changed.
         """
-        entry = self._entries.get(report.id)
+        verdict = self._judge(report)
+        if verdict is Verdict.STARTS and self._is_unknown(report.service):
+            verdict = Verdict.UNKNOWN_SERVICE
+        entry = self._follow(report, verdict)
+        if verdict.is_refusal:
+            raise ReportRefusedError(report.id, verdict.value)
         if entry is None:
-            entry = self._admit(report)
-            if entry is None:
-                return False
-        elif entry.run.ended or report.sequence <= entry.run.sequence:
             return False
 
         changed = self._refresh(entry, report)
@@ -107,36 +109,57 @@
         entry.direct_index = self.index
         return changed
 
-    def _admit(self, report: Report) -> _Entry | None:
-        holder = self._holders.get(report.address)
-        now_s = self._now_s()
-        if holder is not None and now_s - holder.heard_s < self._held_s:
-            # Two runs can't share an address. The one that is heard regularly lives;
-            # the report of the other was delayed, and if not, its next one decides.
-            log.info(
-                Event.REPORT_NOT_TAKEN,
-                run=report.id,
-                holder=holder.run.id,
-                holder_heard_ago_s=round(now_s - holder.heard_s, 3),
-            )
-            return None
-        if holder is not None:
-            self._end(holder, "another run reports from its address")
+    def _is_unknown(self, service: str) -> bool:
+        # Before any table is known, every service may be one.
+        return bool(self.services) and service not in self.services
+
+    def _judge(self, report: Report) -> Verdict:
+        holder = self._entries.find_holder(report.address, report.id)
+        namesake = self._entries.find_namesake(report.number, report.id)
+        return judge_report(
+            report,
+            self._known(self._entries.find(report.id)),
+            self._known(holder),
+            namesake.run if namesake else None,
+            self._held_s,
+        )
 
-        entry = _Entry(
-            BackendRun(
-                id=report.id,
-                number=report.number,
-                service=report.service,
-                address=report.address,
-                failure_domain=report.failure_domain,
-            )
+    def _known(self, entry: RunEntry | None) -> Known | None:
+        return Known(entry.run, self._now_s() - entry.heard_s) if entry else None
+
+    def _follow(self, report: Report, verdict: Verdict) -> RunEntry | None:
+        """Find or make the entry that a report belongs to, if it counts."""
+        if verdict is Verdict.CONTINUES:
+            return self._entries.find(report.id)
+        if verdict is Verdict.STARTS:
+            return self._admit(report)
+        if verdict is not Verdict.OVERTAKEN:
+            self._log_not_taken(report, verdict)
+        return None
+
+    def _log_not_taken(self, report: Report, verdict: Verdict) -> None:
+        holder = self._entries.find_holder(report.address, report.id)
+        log.info(
+            Event.REPORT_NOT_TAKEN,
+            run=report.id,
+            started_ms=report.started_ms,
+            why=verdict.value,
+            holder=holder.run.id if holder else None,
+            holder_heard_ago_s=(
+                round(self._now_s() - holder.heard_s, 3) if holder else None
+            ),
         )
-        self._entries[report.id] = entry
-        self._holders[report.address] = entry
-        return entry
 
-    def _refresh(self, entry: _Entry, report: Report) -> bool:
+    def _admit(self, report: Report) -> RunEntry:
+        earlier = self._entries.find(report.id)
+        if earlier is not None and not earlier.run.ended:
+            self._end(earlier, "it started again")
+        holder = self._entries.find_holder(report.address, report.id)
+        if holder is not None:
+            self._end(holder, "another run reports from its address")
+        return self._entries.add(run_of(report))
+
+    def _refresh(self, entry: RunEntry, report: Report) -> bool:
         run = entry.run
         is_new = entry.heard_s == 0.0
         draining = run.draining or report.draining
@@ -152,6 +175,7 @@
             log.info(
                 Event.BACKEND_REPORTS,
                 run=run.id,
+                started_ms=run.started_ms,
                 service=run.service,
                 sequence=run.sequence,
                 draining=run.draining,
@@ -159,26 +183,31 @@
             )
         return changed
 
-    def leave(self, run_id: str) -> bool:
+    def leave(self, run_id: str, started_ms: int = START_NOT_TOLD) -> bool:
         """Note that a run has ended by its own word.
 
         Parameters
         ----------
         run_id : str
             Its id; one never heard of is remembered, too, against late reports.
+        started_ms : int, optional
+            When the run started, if it said so.
 
         Returns
         -------
         bool
             Whether entry instances must be told of it.
+
+        Raises
+        ------
+        ReportRefusedError
+            If it may mean an earlier run; another control instance may know better.
         """
-        entry = self._entries.get(run_id)
-        if entry is None:
-            entry = self._entries[run_id] = _Entry(BackendRun(id=run_id))
-        if entry.run.ended:
-            return False
-        self._end(entry, "it said so")
-        return True
+        ended = BackendRun(id=run_id, started_ms=started_ms, ended=True)
+        changed = self._take_end(ended, "it said so")
+        if started_ms == START_NOT_TOLD and not self._entries.find(run_id).run.ended:
+            raise ReportRefusedError(run_id, "it may be the end of an earlier run")
+        return changed
 
     def take(self, run: BackendRun) -> bool:
         """Take what another control instance knows of a run.
@@ -193,46 +222,64 @@
         bool
             Whether entry instances must be told of it.
         """
-        entry = self._entries.get(run.id)
         if run.ended:
-            if entry is not None and entry.run.ended:
-                return False
-            if entry is None:
-                entry = self._entries[run.id] = _Entry(BackendRun())
-                entry.run.CopyFrom(run)
-                entry.run.ended = False
-            self._end(entry, "another control instance says so")
-            return True
-        if run.silent:
+            return self._take_end(run, "another control instance says so")
+        known = self._entries.find(run.id)
+        if run.silent and (known is None or run.started_ms <= known.run.started_ms):
+            # That nothing is heard there says nothing here, unless the run is new.
             return False
-        if entry is not None and (
-            entry.run.ended or run.sequence <= entry.run.sequence
-        ):
+        report = report_of(run)
+        entry = self._follow(report, self._judge(report))
+        if entry is None:
             return False
-        report = Report(
-            id=run.id,
-            number=run.number,
-            service=run.service,
-            address=run.address,
-            failure_domain=run.failure_domain,
-            slots=run.slots,
-            sequence=run.sequence,
-            draining=run.draining,
-            warm_up_s=run.warm_up_ms / 1000,
+        changed = self._refresh(entry, report)
+        entry.run.silent = run.silent
+        return changed
+
+    def _take_end(self, ended: BackendRun, reason: str) -> bool:
+        entry = self._entries.find(ended.id)
+        if entry is None or entry.run.started_ms < ended.started_ms:
+            return self._remember_end(entry, ended, reason)
+        if entry.run.ended:
+            return False
+        if not end_is_of(entry.run, ended.started_ms):
+            self._log_end_not_taken(entry.run, ended.started_ms)
+            return False
+        self._end(entry, reason)
+        return True
+
+    @staticmethod
+    def _log_end_not_taken(run: BackendRun, started_ms: int) -> None:
+        log.info(
+            Event.END_NOT_TAKEN,
+            run=run.id,
+            started_ms=run.started_ms,
+            ended_started_ms=started_ms,
         )
-        entry = entry or self._admit(report)
-        return entry is not None and self._refresh(entry, report)
 
-    def _end(self, entry: _Entry, reason: str) -> None:
+    def _remember_end(
+        self, earlier: RunEntry | None, ended: BackendRun, reason: str
+    ) -> bool:
+        if earlier is not None and not earlier.run.ended:
+            self._end(earlier, "it started again")
+        self._end(self._entries.add(ended), reason)
+        return True
+
+    def _end(self, entry: RunEntry, reason: str) -> None:
         run = entry.run
         run.ended = True
         entry.heard_s = self._now_s()
-        if self._holders.get(run.address) is entry:
-            del self._holders[run.address]
+        self._entries.free_address(entry)
         self._mark(entry)
-        log.info(Event.BACKEND_ENDED, run=run.id, service=run.service, why=reason)
+        log.info(
+            Event.BACKEND_ENDED,
+            run=run.id,
+            started_ms=run.started_ms,
+            service=run.service,
+            why=reason,
+        )
 
-    def _mark(self, entry: _Entry) -> None:
+    def _mark(self, entry: RunEntry) -> None:
         self.index += 1
         entry.changed_index = self.index
         self.changed_index = self.index
@@ -248,10 +295,8 @@
             As `snapshot` returned them.
         """
         for run in runs:
-            entry = self._entries[run.id] = _Entry(run)
+            entry = self._entries.add(run)
             entry.heard_s = self._now_s()
-            if not run.ended:
-                self._holders[run.address] = entry
             self._mark(entry)
 
     def snapshot(self) -> list[BackendRun]:
@@ -263,7 +308,7 @@
             In no particular order.
         """
         runs = []
-        for entry in self._entries.values():
+        for entry in self._entries:
             run = BackendRun()
             run.CopyFrom(entry.run)
             runs.append(run)
@@ -276,18 +321,18 @@
         now_s = self._now_s()
         paused = now_s - self._swept_s > _PAUSE_S
         self._swept_s = now_s
-        for entry in list(self._entries.values()):
+        for entry in self._entries:
             if paused and not entry.run.ended:
                 # Reports came while this process stood still, and were lost.
                 entry.heard_s = now_s
             self._sweep_entry(entry, now_s)
 
-    def _sweep_entry(self, entry: _Entry, now_s: float) -> None:
+    def _sweep_entry(self, entry: RunEntry, now_s: float) -> None:
         run = entry.run
         age_s = now_s - entry.heard_s
         if run.ended:
-            if age_s > _ENDED_KEPT_S:
-                del self._entries[run.id]
+            if age_s > KEPT_S:
+                self._entries.forget(entry)
             return
         if run.silent or age_s <= self._silent_s:
             return
@@ -296,6 +341,7 @@
         log.warning(
             Event.BACKEND_STOPPED,
             run=run.id,
+            started_ms=run.started_ms,
             service=run.service,
             last_report_ago_s=round(age_s, 3),
         )
@@ -321,7 +367,7 @@
             Index of the change, and the run's present state.
         """
         changed = []
-        for entry in self._entries.values():
+        for entry in self._entries:
             last = entry.changed_index
             if with_reports:
                 last = max(last, entry.direct_index)
@@ -342,6 +388,7 @@
         return [
             {
                 "id": entry.run.id,
+                "started_ms": entry.run.started_ms,
                 "service": entry.run.service,
                 "sequence": entry.run.sequence,
                 "draining": entry.run.draining,
@@ -349,5 +396,5 @@
                 "silent": entry.run.silent,
                 "heard_ago_s": round(now_s - entry.heard_s, 3),
             }
-            for entry in self._entries.values()
+            for entry in self._entries
         ]
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -13,6 +13,7 @@
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.registry._chunks import ChunkedTable
 from agatethread.registry._presence import DomainView, merge_counts
+from agatethread.registry._report import START_NOT_TOLD
 from agatethread.wire.registry_pb2 import (
     PRESENCE_UNKNOWN,
     BackendRun,
@@ -63,8 +64,8 @@
     domain_told_s: float = float("-inf")
     #: Whether all that it knew has arrived here once.
     complete: bool = False
-    #: Ids of the runs that it holds for alive.
-    reporting: set[str] = field(default_factory=set)
+    #: Runs that it holds for alive: the start time of the newest by id.
+    reporting: dict[str, int] = field(default_factory=dict)
 
     def restart(self, incarnation: int) -> None:
         """Start anew, since the instance has.
@@ -313,9 +314,9 @@
 
     def _take_run(self, link: HubLink, run: BackendRun) -> None:
         if run.ended or run.silent:
-            link.reporting.discard(run.id)
+            link.reporting.pop(run.id, None)
         else:
-            link.reporting.add(run.id)
+            link.reporting[run.id] = run.started_ms
         self._on_run(run)
 
     def on_chunk(self, chunk: RoutesChunk, source: bytes) -> None:
@@ -369,13 +370,15 @@
         links = [link for link in self.links.values() if link.domain_told_s >= since_s]
         return merge_counts(link.domain for link in links)
 
-    def is_reporting(self, run_id: str) -> bool:
+    def is_reporting(self, run_id: str, started_ms: int = START_NOT_TOLD) -> bool:
         """Tell whether a run may be alive, as far as those in sight know.
 
         Parameters
         ----------
         run_id : str
             Its id.
+        started_ms : int, optional
+            When it started.
 
         Returns
         -------
@@ -385,4 +388,4 @@
         knowing = [link for link in self.live() if link.settled and link.complete]
         if not knowing:
             return True
-        return any(run_id in link.reporting for link in knowing)
+        return any(link.reporting.get(run_id) == started_ms for link in knowing)
--- a/src/agatethread/settings/_addresses.py
+++ b/src/agatethread/settings/_addresses.py
@@ -24,7 +24,8 @@
         If the text is not an IPv4 number and a port.
     """
     host, separator, port_text = text.rpartition(":")
-    if not separator or not port_text.isdecimal():
+    is_number = port_text.isascii() and port_text.isdecimal()
+    if not separator or not is_number:
         raise ValueError("no port")
 
     port = int(port_text)
--- a/tests/datapath/test_forwarder.py
+++ b/tests/datapath/test_forwarder.py
@@ -1,46 +1,8 @@
-import unittest
+from agatethread.datapath import label_of
+from tests.datapath.worlds import ForwarderCase, opening, packet, run, table
 
-from agatethread.datapath import BackendView, LabelForwarder, label_of
-from agatethread.observability import Counters
-from agatethread.routing import Route, RouteTable, Target
-from tests.datapath.worlds import CODEC, HOST, opening, packet, run
-from tests.fakes import Clock
-
-
-def table(version=1, service="tab", earlier=(), port=443):
-    """A table with one route."""
-    route = Route((Target(service, 1),), frozenset((service, *earlier)))
-    return RouteTable(version, {(HOST, port): route})
-
-
-class TestLabelForwarder(unittest.TestCase):
-    def setUp(self):
-        self.clock = Clock()
-        self.counters = Counters()
-        self.view = BackendView(self.clock, self.counters)
-        self.sent = []
-        self.knows_all = True
-        self.forwarder = self.make_forwarder()
-        self.forwarder.take_table(table())
-
-    def make_forwarder(self):
-        return LabelForwarder(
-            CODEC,
-            self.view,
-            "a",
-            lambda data, target, *_: self.sent.append((data, target)),
-            self.clock,
-            self.counters,
-            flow_limit_count=1_000,
-            knows_all=lambda: self.knows_all,
-        )
-
-    def handle(self, one):
-        """Hand a packet in; return what was sent."""
-        self.sent.clear()
-        self.forwarder.on_datagram(one, ("router", 1))
-        return [data[:2] for data, _ in self.sent]
 
+class TestLabelForwarder(ForwarderCase):
     def test_opening_goes_to_a_backend_server_of_the_service(self):
         """A new flow goes to a run of the route's service, under its label."""
         self.view.take(run(1, service="archive"))
@@ -75,7 +37,7 @@
         """A run that is not heard of gets no new flow, and no flow is reset."""
         self.view.take(run(1))
         self.view.take(run(2))
-        self.view.judge(lambda run_id: run_id != "i-1")
+        self.view.judge(lambda run_id, _: run_id != "i-1")
         self.assertEqual(self.handle(packet(number=1)), [("forward", 1)])
         for port in range(10, 20):
             self.assertEqual(self.handle(opening(port)), [("forward", 2)])
--- a/tests/datapath/worlds.py
+++ b/tests/datapath/worlds.py
@@ -1,8 +1,19 @@
 """Packets and backend servers for the tests of the data path."""
 
-from agatethread.datapath import FlowKey, Packet, PacketCodec, label_of
+import unittest
+
+from agatethread.datapath import (
+    BackendView,
+    FlowKey,
+    LabelForwarder,
+    Packet,
+    PacketCodec,
+    label_of,
+)
+from agatethread.observability import Counters
+from agatethread.routing import Route, RouteTable, Target
 from agatethread.wire.registry_pb2 import BackendRun
-from tests.fakes import address
+from tests.fakes import Clock, address
 
 HOST = 0xC6120001
 
@@ -50,3 +61,40 @@
     encode_reset=lambda one: ("reset", one.key.caller_port),
     caller_address=lambda one: ("caller", one.key.caller_port),
 )
+
+
+def table(version=1, service="tab", earlier=(), port=443):
+    """A table with one route."""
+    route = Route((Target(service, 1),), frozenset((service, *earlier)))
+    return RouteTable(version, {(HOST, port): route})
+
+
+class ForwarderCase(unittest.TestCase):
+    """One forwarder, what it sends, and a clock."""
+
+    def setUp(self):
+        self.clock = Clock()
+        self.counters = Counters()
+        self.view = BackendView(self.clock, self.counters)
+        self.sent = []
+        self.knows_all = True
+        self.forwarder = self.make_forwarder()
+        self.forwarder.take_table(table())
+
+    def make_forwarder(self):
+        return LabelForwarder(
+            CODEC,
+            self.view,
+            "a",
+            lambda data, target, *_: self.sent.append((data, target)),
+            self.clock,
+            self.counters,
+            flow_limit_count=1_000,
+            knows_all=lambda: self.knows_all,
+        )
+
+    def handle(self, one):
+        """Hand a packet in; return what was sent."""
+        self.sent.clear()
+        self.forwarder.on_datagram(one, ("router", 1))
+        return [data[:2] for data, _ in self.sent]
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -3,7 +3,9 @@
 import unittest
 
 from agatethread_platform.bodies import (
+    LONGEST_REPORT_BYTES,
     decode_configuration,
+    decode_end,
     decode_report,
     run_number,
 )
@@ -12,6 +14,7 @@
 
 from agatethread.exceptions import DocumentError, FieldError
 from agatethread.routing import Target, check_document
+from agatethread.wire.registry_pb2 import BackendRun
 
 CONFIGURATION = {
     "version": 7,
@@ -146,6 +149,100 @@
                 with self.assertRaises((DocumentError, FieldError)):
                     decode_report("i-1", body)
 
+    def test_start_time_is_read(self):
+        """The time of the start comes with reports and may come with the end."""
+        body = json.dumps(REPORT | {"born": 1_796_000_000_123}).encode()
+        self.assertEqual(decode_report("i-1", body).started_ms, 1_796_000_000_123)
+        self.assertEqual(
+            decode_report("i-1", json.dumps(REPORT).encode()).started_ms, 0
+        )
+        self.assertEqual(decode_end("i-1", b'{"born": 17}'), 17)
+        self.assertEqual(decode_end("i-1", b""), 0)
+
+    def test_values_that_no_server_sends_are_refused(self):
+        """Each field of a foreign type, range or form is a typed error."""
+        numbers = ("4", True, None, [4], {}, -1, 1e400, float("nan"), 10**400, 0.5)
+        texts = (7, True, None, ["ready"], {}, "", "x" * 5_000, "\ud800")
+        foreign = {
+            "capacity": (*numbers, 0, 1 << 32),
+            "sequence": (*numbers, 1 << 64),
+            "warmup_remaining_ms": ("4", True, None, [4], -1, float("nan"), 1e400),
+            "born": (*numbers, 0, 1_796_000_000_123_000, 1 << 64),
+            "state": (*texts, "READY", "gone", "drained"),
+            "service": texts,
+            "zone": texts,
+            "address": (
+                *texts,
+                "10.0.0.1",
+                "10.0.0.1:0",
+                "[::1]:80",
+                "10.0.0.1:\u0664",
+            ),
+        }
+        for name, values in foreign.items():
+            for value in values:
+                with self.subTest(field=name, value=str(value)[:30]):
+                    body = json.dumps(REPORT | {name: value}).encode()
+                    with self.assertRaises((DocumentError, FieldError)):
+                        decode_report("i-1", body)
+
+    def test_bytes_that_no_server_sends_are_refused(self):
+        """What can't be read, is nested too deep or far too long is a typed error."""
+        deep = json.dumps(REPORT)[:-1].encode() + b',"x":' + b"[" * 9_000 + b"]" * 9_000
+        for body in (
+            b"",
+            b"\xff\xfe{",
+            b"null",
+            b"[]",
+            b'{"service": "tab"',
+            json.dumps(REPORT).encode("utf-16"),
+            deep + b"}",
+            b"[" * LONGEST_REPORT_BYTES,
+            json.dumps(REPORT | {"x": "x" * LONGEST_REPORT_BYTES}).encode(),
+        ):
+            with self.subTest(body=body[:30]):
+                with self.assertRaises((DocumentError, FieldError)):
+                    decode_report("i-1", body)
+
+    def test_ids_without_plain_hexadecimal_digits_are_refused(self):
+        """Python reads more as numbers than datagrams can name."""
+        for run_id in (
+            *("", "i-", "i-0", "i-xyz", "i-0x1f", "i-1_0", "i- 1f", "i-1f ", "i-+1"),
+            *("i-\u0661", "i-1/2", "i-%31", "i-" + "f" * 17, "i" * 80 + "-1"),
+        ):
+            with self.subTest(run_id=run_id), self.assertRaises(FieldError):
+                run_number(run_id)
+
+    @given(
+        st.dictionaries(
+            st.sampled_from((*REPORT, "born")),
+            st.none()
+            | st.booleans()
+            | st.integers(-(1 << 70), 1 << 70)
+            | st.floats()
+            | st.text(max_size=9)
+            | st.lists(st.integers(), max_size=2)
+            | st.sampled_from(("ready", "draining", "10.0.0.1:80")),
+        )
+    )
+    def test_any_fields_give_a_report_in_range_or_an_error(self, fields):
+        """What is read fits the registry's messages and is what was sent."""
+        try:
+            report = decode_report("i-1", json.dumps(REPORT | fields).encode())
+        except (DocumentError, FieldError):
+            return
+        told = BackendRun(
+            service=report.service,
+            failure_domain=report.failure_domain,
+            slots=report.slots,
+            sequence=report.sequence,
+            warm_up_ms=int(report.warm_up_s * 1000),
+            started_ms=report.started_ms,
+        )
+        self.assertEqual(told.slots, fields.get("capacity", REPORT["capacity"]))
+        self.assertEqual(told.started_ms, fields.get("born", 0))
+        self.assertIn(fields.get("state", "ready"), ("ready", "draining"))
+
     @given(st.text(max_size=30))
     def test_any_id_gives_a_number_or_an_error(self, run_id):
         """Every id is a number of 64 bits, or refused."""
--- a/tests/platform/test_roles.py
+++ b/tests/platform/test_roles.py
@@ -112,6 +112,49 @@
         _, found, _ = await self.call_until(200, "GET", "/api/config")
         self.assertEqual(json.loads(found)["version"], 7)
 
+    async def report(self, run_id="i-7f", **fields):
+        """Send a status report; return its status."""
+        body = json.dumps(REPORT | fields).encode()
+        return (await self.call("PUT", f"/api/endpoints/{run_id}", body))[0]
+
+    async def test_reports_of_another_writer_take_no_server_out(self):
+        """A foreign report gets a 4xx with a reason, and the good run goes on."""
+        await self.put(json.dumps(CONFIGURATION).encode())
+        self.assertEqual(await self.report(born=1_000), 200)
+        before = self.control.instance.runs.snapshot()
+        foreign = (
+            {"state": "gone", "born": 1_000, "sequence": 9},
+            {"state": ["draining"], "born": 1_000, "sequence": 9},
+            {"state": "draining", "sequence": 9},
+            {"state": "draining", "born": 1_000.5, "sequence": 9},
+            {"service": "nonsense", "born": 2_000, "sequence": 9},
+            {"address": "10.128.0.77:8080", "born": 1_000, "sequence": 9},
+            {"sequence": 10**30, "born": 1_000},
+            {"capacity": float("nan"), "born": 1_000, "sequence": 9},
+        )
+        for fields in foreign:
+            with self.subTest(fields=fields):
+                self.assertIn(await self.report(**fields), (400, 409))
+        self.assertEqual(await self.report("x-7f", born=2_000), 409)
+        for body, status in ((b"", 409), (b'{"born": "x"}', 400), (b"\xff", 400)):
+            answer = await self.call("DELETE", "/api/endpoints/i-7f", body)
+            self.assertEqual(answer[0], status)
+            self.assertIn("error", json.loads(answer[1]))
+        self.assertEqual(self.control.instance.runs.snapshot(), before)
+        self.assertEqual(await self.report(born=1_000, sequence=5), 200)
+
+    async def test_server_starts_again_under_its_id(self):
+        """A later start is taken at once, and ends by its own word."""
+        self.assertEqual(await self.report(born=1_000, sequence=50), 200)
+        self.assertEqual(await self.report(born=2_000, sequence=1), 200)
+        late = await self.report(born=1_000, sequence=51, state="draining")
+        self.assertEqual(late, 200)
+        run = self.control.instance.runs.find("i-7f")
+        self.assertEqual((run.started_ms, run.draining), (2_000, False))
+        await self.report(born=2_000, sequence=2, state="draining")
+        await self.call_until(200, "DELETE", "/api/endpoints/i-7f")
+        self.assertTrue(self.control.instance.runs.find("i-7f").ended)
+
     async def test_header_without_an_end_is_cut_off(self):
         """A caller that never ends its header gets an error and no memory."""
         host, port = self.settings.api.split(":")
--- a/tests/registry/test_spreading.py
+++ b/tests/registry/test_spreading.py
@@ -202,6 +202,19 @@
         self.assertIn("i-2", world.told())
         self.assertFalse(world.entry.is_reporting("i-1"))
 
+    def test_start_is_reporting_only_where_it_is_heard(self):
+        """One that hears the earlier start of an id does not vouch for the later."""
+        world = World()
+        world.step(5)
+        world.table(0).report(report(started_ms=1_000))
+        world.step(10)
+        self.assertTrue(world.entry.is_reporting("i-1", 1_000))
+        self.assertFalse(world.entry.is_reporting("i-1", 2_000))
+        world.table(1).report(report(started_ms=2_000))
+        world.step(10)
+        self.assertTrue(world.entry.is_reporting("i-1", 2_000))
+        self.assertFalse(world.entry.is_reporting("i-1", 1_000))
+
     def test_silence_of_all_control_says_nothing(self):
         """Without any control instance in sight every run may be alive."""
         world = World()
