--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -86,6 +86,7 @@
         "sequence",
         "service",
         "shares_label",
+        "silent_since_s",
         "slots",
         "started_ms",
         "told_s",
@@ -114,6 +115,8 @@
         self.ended_s = 0.0
         #: Whether control instances hold it for alive.
         self.reporting = True
+        #: When they stopped to.
+        self.silent_since_s = 0.0
         #: Whether another run has the same label; then only one of them is used.
         self.shares_label = False
         #: When it stops being slow after its start.
@@ -369,6 +372,7 @@
             reporting = is_reporting(backend.id, backend.started_ms)
             if reporting != backend.reporting:
                 backend.reporting = reporting
+                backend.silent_since_s = self._now_s()
                 event = Event.RUN_REPORTING if reporting else Event.RUN_SILENT
                 self._log_change(backend, event)
 
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -11,7 +11,7 @@
 from agatethread.datapath._backends import Backend, BackendView
 from agatethread.datapath._flows import FlowLoads
 from agatethread.datapath._packets import Address, FlowKey, Packet, PacketCodec
-from agatethread.datapath._placing import choose_backend, choose_service
+from agatethread.datapath._placing import choose_service, order_services, place_flow
 from agatethread.datapath._silence import is_unreachable
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.routing import (
@@ -126,8 +126,12 @@
         now_s = self._now_s()
         service, tried = self._judge_earlier(packet, route, now_s)
         service = service or choose_service(route.targets, random.random)
-        backend = choose_backend(
-            self._view.of_service(service), self._failure_domain, now_s, tried
+        backend = place_flow(
+            order_services(route.targets, service),
+            self._view.of_service,
+            self._failure_domain,
+            now_s,
+            tried,
         )
         if backend is None:
             if self._knows_all():
--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -23,6 +23,11 @@
 _DOMAIN_PREFERENCE = 1.5
 
 
+#: Time after its reports stopped in which a run is still tried where no other is left:
+#: the longest cut that callers are to be served through.
+_OUT_OF_SIGHT_S = 12.0
+
+
 def choose_service(targets: Sequence[Target], draw: Callable[[], float]) -> str:
     """Choose a service by the weights of a route.
 
@@ -66,6 +71,29 @@
     return backend.reporting
 
 
+def may_be_alive(backend: Backend, now_s: float) -> bool:
+    """Tell whether a run that is out of sight may be tried where no other is left.
+
+    What no control instance in sight hears may be cut off from them alone, or be back
+    before the caller's time is over; it is not known to be gone.
+
+    Parameters
+    ----------
+    backend : Backend
+        The run.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    bool
+        Whether it fell silent not long ago and had not said that it leaves.
+    """
+    if backend.draining or backend.ended or backend.shares_label:
+        return False
+    return now_s - backend.silent_since_s < _OUT_OF_SIGHT_S
+
+
 def _cost(backend: Backend, failure_domain: str, now_s: float) -> float:
     load = backend.in_flight + 1 + _FLOW_LOAD * backend.flows
     if now_s < backend.warm_s:
@@ -81,6 +109,7 @@
     failure_domain: str,
     now_s: float,
     tried: Sequence[Backend] = (),
+    may_take: Callable[[Backend], bool] = may_take_work,
 ) -> Backend | None:
     """Choose the least loaded run, the nearest if loads are alike.
 
@@ -94,15 +123,17 @@
         Present time.
     tried : sequence of Backend, optional
         Runs that have not answered this flow; taken only if there is no other.
+    may_take : callable, optional
+        Tells whether a run is a candidate.
 
     Returns
     -------
     Backend or None
-        None when no run may take work.
+        None when no run is a candidate.
     """
     best, best_cost = None, (True, True, 0.0, 0.0)
     for backend in backends:
-        if not may_take_work(backend):
+        if not may_take(backend):
             continue
         cost = (
             backend in tried,
@@ -113,3 +144,64 @@
         if best is None or cost < best_cost:
             best, best_cost = backend, cost
     return best
+
+
+def place_flow(
+    services: Sequence[str],
+    runs_of: Callable[[str], Iterable[Backend]],
+    failure_domain: str,
+    now_s: float,
+    tried: Sequence[Backend] = (),
+) -> Backend | None:
+    """Choose the run of a new flow among all services that may take it.
+
+    The load that this answers: a failure domain that is cut off with no run of the
+    chosen service left in sight. Its callers are better served by another service of
+    the route, or by a run that may come into sight again while they wait, than refused.
+
+    Parameters
+    ----------
+    services : sequence of str
+        Services of the route, the chosen one first.
+    runs_of : callable
+        Lists a service's runs.
+    failure_domain : str
+        Of this instance.
+    now_s : float
+        Present time.
+    tried : sequence of Backend, optional
+        Runs that have not answered this flow.
+
+    Returns
+    -------
+    Backend or None
+        None when every run is known to be gone or leaving.
+    """
+    for may_take in (may_take_work, lambda backend: may_be_alive(backend, now_s)):
+        for service in services:
+            backend = choose_backend(
+                runs_of(service), failure_domain, now_s, tried, may_take
+            )
+            if backend is not None:
+                return backend
+    return None
+
+
+def order_services(targets: Sequence[Target], first: str) -> tuple[str, ...]:
+    """List the services that a route's new flows may go to.
+
+    Parameters
+    ----------
+    targets : sequence of Target
+        The route's services and weights.
+    first : str
+        The chosen one.
+
+    Returns
+    -------
+    tuple of str
+        The chosen one, then the others with some weight, the heaviest first.
+    """
+    ranked = sorted(targets, key=lambda target: -target.weight)
+    others = [target.service for target in ranked if target.weight > 0]
+    return tuple(dict.fromkeys((first, *others)))
--- a/tests/datapath/test_placing.py
+++ b/tests/datapath/test_placing.py
@@ -4,7 +4,7 @@
 from statistics import mean
 
 from agatethread.datapath import Backend, choose_backend
-from agatethread.datapath._placing import choose_service
+from agatethread.datapath._placing import choose_service, order_services, place_flow
 from agatethread.routing import Target
 from tests.datapath.worlds import run
 
@@ -83,3 +83,45 @@
         chance = play(lambda backends, draw, _: draw.choice(backends))
         self.assertLess(mean(ours), mean(chance) / 3)
         self.assertLess(at_percentile(ours, 0.99), at_percentile(chance, 0.99) / 3)
+
+
+class TestPlaceFlow(unittest.TestCase):
+    """Services of a route in a failure domain that is cut off."""
+
+    def setUp(self):
+        self.near = Backend(run(1, service="tab"))
+        self.away = Backend(run(2, service="archive"))
+        self.runs = {"tab": [self.near], "archive": [self.away]}
+
+    def place(self, services, now_s=100.0):
+        return place_flow(services, lambda name: self.runs[name], "a", now_s)
+
+    def fall_silent(self, backend, since_s=99.0):
+        backend.reporting, backend.silent_since_s = False, since_s
+
+    def test_another_service_of_the_route_takes_over(self):
+        """A service without a run in sight does not cost its share of the flows."""
+        self.fall_silent(self.away)
+        self.assertIs(self.place(("archive", "tab")), self.near)
+        self.away.ended = True
+        self.assertIs(self.place(("archive", "tab")), self.near)
+
+    def test_run_out_of_sight_is_tried_where_no_other_is_left(self):
+        """What is not heard is not known to be gone, for as long as a cut lasts."""
+        self.fall_silent(self.away)
+        self.assertIs(self.place(("archive",)), self.away)
+        self.assertIsNone(self.place(("archive",), now_s=120.0))
+
+    def test_runs_known_to_be_gone_are_not_tried(self):
+        """A flow that nobody can take is refused at once."""
+        for state in ("ended", "draining", "shares_label"):
+            self.setUp()
+            self.fall_silent(self.away)
+            setattr(self.away, state, True)
+            with self.subTest(state=state):
+                self.assertIsNone(self.place(("archive",)))
+
+    def test_no_service_gets_flows_at_weight_zero(self):
+        """Neither at first nor in place of another one."""
+        targets = (Target("old", 0), Target("archive", 10), Target("tab", 90))
+        self.assertEqual(order_services(targets, "archive"), ("archive", "tab"))
