--- a/src/agatethread/control/_hints.py
+++ b/src/agatethread/control/_hints.py
@@ -2,18 +2,26 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any
 
 from agatethread.control._raft import RaftNode
 from agatethread.exceptions import DiskFullError
 from agatethread.observability import Event, make_logger
-from agatethread.registry import RunTable, save_runs
+from agatethread.registry import RegistryHub, RunTable, save_hints
 
 log = make_logger("control")
 
 
+@dataclass(frozen=True, slots=True)
+class _Version:
+    runs: int = 0
+    entries: tuple[bytes, ...] = ()
+    commit: int = 0
+
+
 class HintKeeper:
-    """Saves the known backend servers and the commit index after they have changed.
+    """Saves what is known of others, and the commit index, after they have changed.
 
     Parameters
     ----------
@@ -21,6 +29,8 @@
         The data folder.
     runs : RunTable
         The backend servers.
+    hub : RegistryHub
+        Knows the entry instances.
     find_node : callable
         Finds this member of the log; None while the log is not open.
     spawn : callable
@@ -31,32 +41,38 @@
         self,
         folder: str,
         runs: RunTable,
+        hub: RegistryHub,
         find_node: Callable[[], RaftNode | None],
         spawn: Callable[[Coroutine[Any, Any, None]], object],
     ):
         self._folder = folder
         self._runs = runs
+        self._hub = hub
         self._find_node = find_node
         self._spawn = spawn
         self._is_saving = False
-        #: Index of the runs' changes and commit index that the disk holds.
-        self._saved = (0, 0)
+        #: Runs' changes, entry instances and commit index that the disk holds.
+        self._saved = _Version()
 
     def save(self) -> None:
         """Save what has changed, unless that is under way."""
         node = self._find_node()
-        now = (self._runs.changed_index, node.commit_index if node else 0)
+        now = _Version(
+            self._runs.changed_index,
+            self._hub.entry_addresses(),
+            node.commit_index if node else 0,
+        )
         if not self._is_saving and now != self._saved:
             self._is_saving = True
             self._spawn(self._write(now, node))
 
-    async def _write(self, now: tuple[int, int], node: RaftNode | None) -> None:
+    async def _write(self, now: _Version, node: RaftNode | None) -> None:
         runs = self._runs.snapshot()
         try:
             # In threads: a slow disk must not hold up reports.
-            if now[0] != self._saved[0]:
-                await asyncio.to_thread(save_runs, self._folder, runs)
-            if node is not None and now[1] != self._saved[1]:
+            if (now.runs, now.entries) != (self._saved.runs, self._saved.entries):
+                await asyncio.to_thread(save_hints, self._folder, runs, now.entries)
+            if node is not None and now.commit != self._saved.commit:
                 await asyncio.to_thread(node.sync_commit_index)
             self._saved = now
         except (OSError, DiskFullError) as error:
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -34,7 +34,7 @@
     RoutesOffer,
     RunTable,
     Subscription,
-    load_runs,
+    load_hints,
 )
 from agatethread.routing import RoutingDocument, check_document, encode_table
 from agatethread.settings import format_address, listen_address, parse_address
@@ -138,17 +138,23 @@
 
     async def on_start(self) -> None:
         """Listen, and open the log as soon as the disk allows."""
-        self.runs.remember(load_runs(self.settings.data_dir))
+        hints = load_hints(self.settings.data_dir)
+        self.runs.remember(hints.runs)
         self._transport.start(self._on_message)
+        self.hub.expect(hints.subscribers)
         self.timers.subscribe(_POLL_INTERVAL_S, self.subscription.poll)
         self.timers.subscribe(_URGENT_INTERVAL_S, self.subscription.knock_urgently)
         self.timers.subscribe(_FLUSH_INTERVAL_S, self.hub.flush)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self.runs.sweep)
         self.timers.subscribe(_SIGHTINGS_INTERVAL_S, self.hub.tell_sightings)
-        hints = HintKeeper(
-            self.settings.data_dir, self.runs, lambda: self.node, self.add_future
+        keeper = HintKeeper(
+            self.settings.data_dir,
+            self.runs,
+            self.hub,
+            lambda: self.node,
+            self.add_future,
         )
-        self.timers.subscribe(_REMEMBER_INTERVAL_S, hints.save)
+        self.timers.subscribe(_REMEMBER_INTERVAL_S, keeper.save)
         self.timers.subscribe(_MEMBERS_INTERVAL_S, self._manage_members)
         self.subscription.poll()
         self.add_future(self._open_log())
--- a/src/agatethread/registry/__init__.py
+++ b/src/agatethread/registry/__init__.py
@@ -1,7 +1,7 @@
 """Backend servers as they report themselves, told to every entry instance."""
 
 from agatethread.registry._hub import RegistryHub, RoutesOffer
-from agatethread.registry._memory import load_runs, save_runs
+from agatethread.registry._memory import Hints, load_hints, save_hints
 from agatethread.registry._presence import DomainView
 from agatethread.registry._report import START_NOT_TOLD, Report
 from agatethread.registry._runs import RunTable
@@ -12,6 +12,7 @@
 __all__ = [
     "START_NOT_TOLD",
     "DomainView",
+    "Hints",
     "HubLink",
     "RegistryHub",
     "RegistryTransport",
@@ -21,6 +22,6 @@
     "SightingPool",
     "Subscription",
     "decode_message",
-    "load_runs",
-    "save_runs",
+    "load_hints",
+    "save_hints",
 ]
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from agatethread.registry._presence import count_domain
@@ -107,6 +107,8 @@
         self._subscribers: dict[bytes, _Subscriber] = {}
         self._waiting: list[tuple[int, asyncio.Future[None]]] = []
         self._offer: RoutesOffer | None = None
+        #: Entry instances that have not asked since this instance started.
+        self._expected: list[bytes] = []
         self._sightings = SightingPool()
 
     def offer_routes(self, offer: RoutesOffer) -> None:
@@ -117,8 +119,19 @@
         offer : RoutesOffer
             An agreed table.
         """
+        is_first = self._offer is None
         self._offer = offer
         self.flush()
+        if is_first:
+            self._greet(offer)
+
+    def _greet(self, offer: RoutesOffer) -> None:
+        chunks = _split_routes(offer)
+        for address in self._expected:
+            if address not in self._subscribers:
+                for chunk in chunks:
+                    self._send(RegistryMessage(routes=chunk), address)
+        self._expected = []
 
     def controls(self) -> list[ControlNode]:
         """List the control instances that were heard lately.
@@ -134,6 +147,38 @@
             if subscriber.is_control
         ]
 
+    def entry_addresses(self) -> tuple[bytes, ...]:
+        """List the entry instances that were heard lately.
+
+        Returns
+        -------
+        tuple of bytes
+            Their packed addresses, in order.
+        """
+        entries = [
+            address
+            for address, subscriber in self._subscribers.items()
+            if not subscriber.is_control
+        ]
+        return tuple(sorted(entries))
+
+    def expect(self, addresses: Iterable[bytes]) -> None:
+        """Tell entry instances what is known before they ask.
+
+        The load that this answers: a loss of all power, after which each entry instance
+        waits for the first control instance and asks only each 0.1 s.
+
+        Parameters
+        ----------
+        addresses : iterable of bytes
+            Packed addresses of those that were told before this instance stopped.
+        """
+        self._expected = [one for one in addresses if one not in self._subscribers]
+        deltas = self._deltas_after(0, with_reports=False)
+        for address in self._expected:
+            for delta in deltas:
+                self._send(RegistryMessage(delta=delta), address)
+
     # -- subscribers --------------------------------------------------------------
 
     def on_poll(self, poll: Poll, address: bytes) -> None:
--- a/src/agatethread/registry/_memory.py
+++ b/src/agatethread/registry/_memory.py
@@ -1,18 +1,21 @@
-"""What a control instance knows of backend servers, kept over its own restart.
+"""What a control instance knows of others, kept over its own restart.
 
-Only a hint: it lets packets flow again before every backend server has reported anew.
-It is written some time after a change, so it may be old or missing.
+Only a hint: it lets packets flow again before every backend server has reported anew,
+and before every entry instance has asked. It is written some time after a change, so it
+may be old or missing.
 """
 
 import os
 import struct
 import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass
 from pathlib import Path
 
 from google.protobuf.message import DecodeError
 
 from agatethread.observability import Event, make_logger
-from agatethread.wire.registry_pb2 import BackendRun, Delta
+from agatethread.wire.registry_pb2 import BackendRun, ControlNode, Delta
 
 _CHECKSUM = struct.Struct("!I")
 _FILE = "registry"
@@ -20,22 +23,43 @@
 log = make_logger("registry")
 
 
-def save_runs(folder: str, runs: list[BackendRun]) -> None:
-    """Write the runs, synced: this takes as long as the disk takes.
+@dataclass(frozen=True, slots=True)
+class Hints:
+    """What is kept.
+
+    Attributes
+    ----------
+    runs : tuple of BackendRun
+        Known backend servers.
+    subscribers : tuple of bytes
+        Packed addresses of the entry instances that were told of them.
+    """
+
+    runs: tuple[BackendRun, ...] = ()
+    subscribers: tuple[bytes, ...] = ()
+
+
+def save_hints(
+    folder: str, runs: Iterable[BackendRun], subscribers: Iterable[bytes] = ()
+) -> None:
+    """Write the hints, synced: this takes as long as the disk takes.
 
     Parameters
     ----------
     folder : str
         The data folder.
-    runs : list of BackendRun
+    runs : iterable of BackendRun
         What is known.
+    subscribers : iterable of bytes, optional
+        Packed addresses of the entry instances that are told.
 
     Raises
     ------
     OSError
         If they could not be written; the older file stays.
     """
-    payload = Delta(runs=runs).SerializeToString()
+    nodes = [ControlNode(address=address) for address in subscribers]
+    payload = Delta(runs=runs, controls=nodes).SerializeToString()
     path = Path(folder) / _FILE
     temporary = path.with_suffix(".new")
     with open(temporary, "wb") as file:
@@ -50,8 +74,8 @@
         os.close(directory)
 
 
-def load_runs(folder: str) -> list[BackendRun]:
-    """Read the runs.
+def load_hints(folder: str) -> Hints:
+    """Read the hints.
 
     Parameters
     ----------
@@ -60,7 +84,7 @@
 
     Returns
     -------
-    list of BackendRun
+    Hints
         Empty if there is no file, or it is not whole.
     """
     path = Path(folder) / _FILE
@@ -70,10 +94,12 @@
         payload = data[_CHECKSUM.size :]
         if zlib.crc32(payload) != checksum:
             log.warning(Event.HINTS_DAMAGED, path=str(path))
-            return []
-        return list(Delta.FromString(payload).runs)
+            return Hints()
+        saved = Delta.FromString(payload)
     except FileNotFoundError:
-        return []
+        return Hints()
     except (OSError, struct.error, DecodeError) as error:
         log.warning(Event.HINTS_NOT_READ, error=repr(error))
-        return []
+        return Hints()
+    subscribers = tuple(node.address for node in saved.controls)
+    return Hints(tuple(saved.runs), subscribers)
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -5,7 +5,7 @@
 draining to ended, and a later run of the same id replaces it with all that was known.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from agatethread.exceptions import ReportRefusedError
 from agatethread.observability import Event, make_logger
@@ -286,12 +286,12 @@
 
     # -- restarts -----------------------------------------------------------------
 
-    def remember(self, runs: list[BackendRun]) -> None:
+    def remember(self, runs: Iterable[BackendRun]) -> None:
         """Take what this instance knew before it was restarted.
 
         Parameters
         ----------
-        runs : list of BackendRun
+        runs : iterable of BackendRun
             As `snapshot` returned them.
         """
         for run in runs:
--- a/tests/registry/test_restarts.py
+++ b/tests/registry/test_restarts.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from agatethread.exceptions import ReportRefusedError
-from agatethread.registry import RunTable, load_runs, save_runs
+from agatethread.registry import RunTable, load_hints, save_hints
 from tests.fakes import Clock
 from tests.registry.test_runs import INTERVAL_S, report
 
@@ -95,9 +95,9 @@
         """Which start is the newest is among the hints on disk."""
         self.table.report(report(sequence=1, started_ms=2_000))
         with tempfile.TemporaryDirectory() as folder:
-            save_runs(folder, self.table.snapshot())
+            save_hints(folder, self.table.snapshot())
             self.table = RunTable(INTERVAL_S, self.clock)
-            self.table.remember(load_runs(folder))
+            self.table.remember(load_hints(folder).runs)
         self.table.report(report(sequence=99, started_ms=1_000, draining=True))
         self.assertEqual(self.known(), (2_000, 1, False, False))
 
--- a/tests/registry/test_runs.py
+++ b/tests/registry/test_runs.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from agatethread.registry import Report, RunTable, load_runs, save_runs
+from agatethread.registry import Hints, Report, RunTable, load_hints, save_hints
 from tests.fakes import Clock, address
 
 INTERVAL_S = 1.2
@@ -121,20 +121,26 @@
         self.table.report(report(number=2, place=2))
         self.table.leave("i-2")
         with tempfile.TemporaryDirectory() as folder:
-            save_runs(folder, self.table.snapshot())
+            save_hints(folder, self.table.snapshot())
             fresh = RunTable(INTERVAL_S, self.clock)
-            fresh.remember(load_runs(folder))
+            fresh.remember(load_hints(folder).runs)
         self.assertTrue(fresh.find("i-1").draining)
         self.assertFalse(fresh.report(report(number=2, place=2, sequence=9)))
 
+    def test_entry_instances_survive_a_restart(self):
+        """Who was told of the runs is kept beside them."""
+        with tempfile.TemporaryDirectory() as folder:
+            save_hints(folder, [], [address(7), address(8)])
+            self.assertEqual(load_hints(folder).subscribers, (address(7), address(8)))
+
     def test_torn_file_is_passed_over(self):
         """A file that is not whole is no reason not to start."""
         with tempfile.TemporaryDirectory() as folder:
-            save_runs(folder, [])
+            save_hints(folder, [])
             path = Path(folder) / "registry"
             for data in (b"", b"abc", b"\x00" * 40):
                 path.write_bytes(data)
-                self.assertEqual(load_runs(folder), [])
+                self.assertEqual(load_hints(folder), Hints())
 
 
 class RunMachine(RuleBasedStateMachine):
--- a/tests/registry/test_spreading.py
+++ b/tests/registry/test_spreading.py
@@ -215,6 +215,35 @@
         self.assertTrue(world.entry.is_reporting("i-1", 2_000))
         self.assertFalse(world.entry.is_reporting("i-1", 1_000))
 
+    def test_restarted_hub_tells_entry_instances_before_they_ask(self):
+        """After a loss of all power nobody waits for the next question."""
+        world = World(("a",))
+        world.step(5)
+        world.table(0).report(report())
+        world.step(5)
+        entries, known = world.hub(0).entry_addresses(), world.table(0).snapshot()
+        self.assertEqual(entries, (world.entry_address,))
+        world.runs.clear()
+        world.start_hub(0, "a", [address(0)])
+        world.table(0).remember(known)
+        world.hub(0).expect(entries)
+        world.hub(0).offer_routes(compressed_table(9))
+        world.deliver()
+        self.assertIn("i-1", world.told())
+        self.assertEqual(world.entry.routes_version, 9)
+
+    def test_entry_instance_that_has_asked_is_told_once(self):
+        """One that asks before the table is read gets it like any other."""
+        world = World(("a",))
+        world.hub(0).expect([world.entry_address, address(55)])
+        world.entry.poll()
+        world.deliver()
+        before = world.sent_bytes
+        world.hub(0).offer_routes(compressed_table(9))
+        targets = [target for _, _, target in world.queue]
+        self.assertEqual(sorted(targets), sorted([world.entry_address, address(55)]))
+        self.assertGreater(world.sent_bytes, before)
+
     def test_silence_of_all_control_says_nothing(self):
         """Without any control instance in sight every run may be alive."""
         world = World()
