--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -240,7 +240,9 @@
         for backend in self._suspects():
             if not backend.unreachable and self._judge_silence(backend, now_s):
                 lost.append(backend)
-        for key, flow in self.loads.of_runs(lost) if lost else ():
+        if not lost:
+            return
+        for key, flow in self.loads.of_runs(lost):
             self._end_flow(key, flow)
 
     def _end_flow(self, key: FlowKey, flow: Flow) -> None:
@@ -250,7 +252,8 @@
         if ends_with_its_run(flow.busy, is_idempotent, has_ended):
             self.loads.forget(key)
             reason = "backend_ended" if has_ended else "backend_unreachable"
-            self._reset(caller_packet(key, flow.acknowledged), reason)
+            packet = caller_packet(key, flow.backend.label, flow.acknowledged)
+            self._reset(packet, reason)
 
     def sightings(self) -> list[Sighting]:
         """List what other entry instances should know of silent runs.
--- a/src/agatethread/datapath/_packets.py
+++ b/src/agatethread/datapath/_packets.py
@@ -39,13 +39,15 @@
     data: bytes
 
 
-def caller_packet(key: FlowKey, acknowledged: int) -> Packet:
+def caller_packet(key: FlowKey, label: int, acknowledged: int) -> Packet:
     """Make a packet that stands for the last one of a caller.
 
     Parameters
     ----------
     key : FlowKey
         Its flow.
+    label : int
+        Of the run that holds the flow.
     acknowledged : int
         Sequence number that the caller acknowledged last.
 
@@ -54,7 +56,7 @@
     Packet
         Enough of one to reset the flow.
     """
-    return Packet(0, key, False, 0, False, False, 0, acknowledged, 0, b"")
+    return Packet(label, key, False, 0, False, False, 0, acknowledged, 0, b"")
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/datapath/test_forwarder.py
+++ b/tests/datapath/test_forwarder.py
@@ -1,4 +1,7 @@
+from logbook import TestHandler
+
 from agatethread.datapath import label_of
+from agatethread.observability import Event
 from tests.datapath.worlds import ForwarderCase, opening, packet, run, table
 
 
@@ -142,3 +145,39 @@
                 for port in range(5):
                     self.handle(opening(port))
                     self.assertEqual(self.sent[0][1], kept.address)
+
+
+class TestFlowsOfEndedRuns(ForwarderCase):
+    """Callers of a run that has ended are told before they send again."""
+
+    def end_flows(self):
+        """What the timer does; return what was sent."""
+        self.sent.clear()
+        self.forwarder.end_flows_of_lost_runs()
+        return [data for data, _ in self.sent]
+
+    def test_idle_flow_is_reset_once(self):
+        """The caller's next request goes elsewhere at once."""
+        self.view.take(run(1))
+        self.handle(packet(7, number=1))
+        self.assertEqual(self.end_flows(), [])
+        self.view.take(run(1, ended=True))
+        with TestHandler() as handler:
+            self.assertEqual(self.end_flows(), [("reset", 7)])
+        (line,) = [one for one in handler.records if one.message == Event.FLOW_RESET]
+        self.assertEqual(line.kwargs["label"], label_of(1))
+        self.assertEqual(self.end_flows(), [])
+
+    def test_flow_that_is_not_open_is_left_alone(self):
+        """Its caller's copies of the opening go to another run by themselves."""
+        self.view.take(run(1))
+        self.handle(opening(7))
+        self.view.take(run(1, ended=True))
+        self.assertEqual(self.end_flows(), [])
+
+    def test_flow_of_a_replaced_start_is_left_to_its_server(self):
+        """A later start of the id may hold it."""
+        self.view.take(run(1, started_ms=1_000))
+        self.handle(packet(7, label=label_of(1, 1_000)))
+        self.view.take(run(1, started_ms=2_000))
+        self.assertEqual(self.end_flows(), [])
