--- a/benchmarks/control_world.py
+++ b/benchmarks/control_world.py
@@ -11,7 +11,7 @@
 from agatethread.exceptions import DiskFullError, NotLeaderError, UnavailableError
 from agatethread.settings import ControlSettings
 from agatethread.wire.control_pb2 import Command, Outcome, PutDocument
-from benchmarks.operations_world import Network
+from benchmarks.faulty_network import Network
 
 _CALL_TIMEOUT_S = 0.6
 
--- a/benchmarks/member_world.py
+++ b/benchmarks/member_world.py
@@ -20,7 +20,7 @@
 from agatethread.settings import ControlSettings
 from agatethread.wire.control_pb2 import Command, ControlMember, PutRoutes
 from benchmarks.control_world import call_over
-from benchmarks.operations_world import Network
+from benchmarks.faulty_network import Network
 
 _MANAGE_INTERVAL_S = 0.25
 _CHANGE_LIMIT_S = 2.5
--- a/benchmarks/operations_world.py
+++ b/benchmarks/operations_world.py
@@ -7,8 +7,7 @@
 
 import asyncio
 import random
-from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections import Counter
 from dataclasses import replace
 
 from agatethread.client import Client
@@ -38,6 +37,7 @@
     seal_token,
     service_hash,
 )
+from benchmarks.faulty_network import Network
 
 SERVICE = "tab"
 _ENTRY = EntrySettings("127.0.0.1:1", "127.0.0.1:2", "unused", retention_s=120.0)
@@ -46,73 +46,6 @@
 _LEASE_MS = 10_000_000
 
 
-class Network:
-    """Carries messages between named nodes, with faults.
-
-    Parameters
-    ----------
-    seed : int
-        Of every chance.
-    """
-
-    def __init__(self, seed: int):
-        self.random = random.Random(seed)
-        self.loss = 0.0
-        self.duplicate = 0.0
-        self.longest_delay_s = 0.004
-        self.dead: set[str] = set()
-        self.frozen: set[str] = set()
-        self.cut: set[frozenset[str]] = set()
-        self._held: dict[str, list[tuple[str, str, Callable[[], None]]]] = defaultdict(
-            list
-        )
-
-    def send(self, source: str, target: str, deliver: Callable[[], None]) -> None:
-        """Send a message.
-
-        Parameters
-        ----------
-        source, target : str
-            Names of nodes.
-        deliver : callable
-            Hands it over.
-        """
-        copies = 2 if self.random.random() < self.duplicate else 1
-        for _ in range(copies):
-            if self.random.random() >= self.loss:
-                self._send_copy(source, target, deliver)
-
-    def _send_copy(self, source: str, target: str, deliver: Callable[[], None]) -> None:
-        if source in self.frozen:
-            self._held[source].append((source, target, deliver))
-            return
-        delay_s = self.random.uniform(0.0005, self.longest_delay_s)
-        loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, self._arrive, source, target, deliver)
-
-    def _arrive(self, source: str, target: str, deliver: Callable[[], None]) -> None:
-        if target in self.dead or source in self.dead:
-            return
-        if frozenset((source, target)) in self.cut:
-            return
-        if target in self.frozen:
-            self._held[target].append((source, target, deliver))
-            return
-        deliver()
-
-    def thaw(self, name: str) -> None:
-        """Let a frozen node go on, with all that was held.
-
-        Parameters
-        ----------
-        name : str
-            The node.
-        """
-        self.frozen.discard(name)
-        for source, target, deliver in self._held.pop(name, []):
-            self._send_copy(source, target, deliver)
-
-
 class Backend:
     """A backend server with slots; its runs are the oracle.
 
