--- a/src/agatethread/cli/_calls.py
+++ b/src/agatethread/cli/_calls.py
@@ -200,16 +200,34 @@
     -------
     tuple of (float, list of dict)
         Seconds waited, and the instances that lag with the reason.
+
+    Raises
+    ------
+    UnavailableError
+        If no control instance answered the last time that they were asked.
     """
     started_s = time.monotonic()
     while True:
-        laggards = _laggards(await all_statuses(target), index)
+        statuses, error = await _try_all_statuses(target)
+        laggards = _laggards(statuses, index)
         elapsed_s = time.monotonic() - started_s
-        if not laggards or elapsed_s >= limit_s:
+        if elapsed_s >= limit_s and error is not None:
+            raise error
+        if (not laggards and error is None) or elapsed_s >= limit_s:
             return elapsed_s, laggards
         await asyncio.sleep(_POLL_S)
 
 
+async def _try_all_statuses(
+    target: ControlTarget,
+) -> tuple[list[StatusReply], UnavailableError | None]:
+    # The change was accepted; that nobody answers for a moment does not undo it.
+    try:
+        return await all_statuses(target), None
+    except UnavailableError as error:
+        return [], error
+
+
 def _laggards(statuses: list[StatusReply], index: int) -> list[dict[str, Any]]:
     best: dict[str, Any] = {}
     for status in statuses:
--- a/src/agatethread/control/_hints.py
+++ b/src/agatethread/control/_hints.py
@@ -51,6 +51,7 @@
         self._find_node = find_node
         self._spawn = spawn
         self._is_saving = False
+        self._writing: asyncio.Future[None] | None = None
         #: Runs' changes, entry instances and commit index that the disk holds.
         self._saved = _Version()
 
@@ -71,11 +72,21 @@
         try:
             # In threads: a slow disk must not hold up reports.
             if (now.runs, now.entries) != (self._saved.runs, self._saved.entries):
-                await asyncio.to_thread(save_hints, self._folder, runs, now.entries)
+                await self._in_thread(save_hints, self._folder, runs, now.entries)
             if node is not None and now.commit != self._saved.commit:
-                await asyncio.to_thread(node.sync_commit_index)
+                await self._in_thread(node.sync_commit_index)
             self._saved = now
         except (OSError, DiskFullError) as error:
             log.warning(Event.HINTS_NOT_SAVED, error=str(error))
         finally:
             self._is_saving = False
+
+    async def _in_thread(self, write: Callable[..., None], *arguments: object) -> None:
+        # A thread goes on when the task that waits for it is cancelled.
+        self._writing = asyncio.ensure_future(asyncio.to_thread(write, *arguments))
+        await asyncio.shield(self._writing)
+
+    async def finish(self) -> None:
+        """Wait for a write that is under way, so that the folder may be removed."""
+        if self._writing is not None:
+            await asyncio.wait([self._writing])
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -95,6 +95,7 @@
         self._log_port: LogPort | None = None
         self._change_s = Histogram()
         self._keeper: MemberKeeper | None = None
+        self._hints: HintKeeper | None = None
         self._offered_version = 0
         self._started_s = self.timers.now_s()
         self._registry_port = parse_address(settings.registry)[1]
@@ -147,14 +148,14 @@
         self.timers.subscribe(_FLUSH_INTERVAL_S, self.hub.flush)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self.runs.sweep)
         self.timers.subscribe(_SIGHTINGS_INTERVAL_S, self.hub.tell_sightings)
-        keeper = HintKeeper(
+        self._hints = HintKeeper(
             self.settings.data_dir,
             self.runs,
             self.hub,
             lambda: self.node,
             self.add_future,
         )
-        self.timers.subscribe(_REMEMBER_INTERVAL_S, keeper.save)
+        self.timers.subscribe(_REMEMBER_INTERVAL_S, self._hints.save)
         self.timers.subscribe(_MEMBERS_INTERVAL_S, self._manage_members)
         self.subscription.poll()
         self.add_future(self._open_log())
@@ -251,6 +252,8 @@
         """Stop listening."""
         if self._log_port is not None:
             await self._log_port.close()
+        if self._hints is not None:
+            await self._hints.finish()
         self._transport.close()
 
     # -- the routing table --------------------------------------------------------
