--- a/src/agatethread/registry/_admission.py
+++ b/src/agatethread/registry/_admission.py
@@ -11,8 +11,9 @@
 the known one               taken if its sequence number is higher
 later                       the earlier run is over, the new one is taken
 earlier                     stale, however high its sequence number
-missing                     refused where the id is known with a start time;
-                            otherwise like a time before all others
+missing                     refused where the id is known with a start time, or
+                            any live run tells its own: backend servers tell it
+                            all or none; otherwise a time before all others
 ==========================  =================================================
 
 Start times are read from the backend servers' own clocks. A clock that was set back
@@ -41,11 +42,16 @@
     ADDRESS_HELD = "another run holds its address"
     CONTRADICTS = "it contradicts what its id is known as"
     UNKNOWN_SERVICE = "no service of that name is configured"
+    START_MISSING = "it does not say when it started, and other runs do"
 
     @property
     def is_refusal(self) -> bool:
         """Whether the report can't come from a backend server of ours."""
-        return self in (Verdict.CONTRADICTS, Verdict.UNKNOWN_SERVICE)
+        return self in (
+            Verdict.CONTRADICTS,
+            Verdict.UNKNOWN_SERVICE,
+            Verdict.START_MISSING,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +102,7 @@
         verdict = _compare(report, known)
         if verdict is not Verdict.STARTS:
             return verdict
-    if namesake is not None and _is_live(namesake):
+    if namesake is not None and is_live(namesake):
         return Verdict.CONTRADICTS
     if holder is not None and not _gives_way(holder, report, held_s):
         return Verdict.ADDRESS_HELD
@@ -112,7 +118,7 @@
             return Verdict.CONTRADICTS
         return Verdict.EARLIER_RUN
     if report.started_ms > run.started_ms:
-        changes_service = _is_live(run) and report.service != run.service
+        changes_service = is_live(run) and report.service != run.service
         return Verdict.CONTRADICTS if changes_service else Verdict.STARTS
     if run.ended:
         return Verdict.OVERTAKEN
@@ -123,7 +129,19 @@
     return Verdict.CONTINUES
 
 
-def _is_live(run: BackendRun) -> bool:
+def is_live(run: BackendRun) -> bool:
+    """Tell whether a run may be at work.
+
+    Parameters
+    ----------
+    run : BackendRun
+        The run.
+
+    Returns
+    -------
+    bool
+        Whether it has neither ended nor fallen silent.
+    """
     return not (run.ended or run.silent)
 
 
--- a/src/agatethread/registry/_entries.py
+++ b/src/agatethread/registry/_entries.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterator
 
-from agatethread.registry._report import Report
+from agatethread.registry._admission import is_live
+from agatethread.registry._report import START_NOT_TOLD, Report
 from agatethread.wire.registry_pb2 import BackendRun
 
 
@@ -55,6 +56,13 @@
         is_none = namesake is None or namesake.run.id == except_id
         return None if is_none else namesake
 
+    def tell_starts(self) -> bool:
+        """Tell whether any live run has told when it started."""
+        return any(
+            entry.run.started_ms != START_NOT_TOLD and is_live(entry.run)
+            for entry in self._by_id.values()
+        )
+
     def add(self, run: BackendRun) -> RunEntry:
         """Keep a run in place of an earlier one of its id."""
         entry = self._by_id[run.id] = RunEntry(run)
@@ -124,3 +132,31 @@
         address=report.address,
         failure_domain=report.failure_domain,
     )
+
+
+def describe(entry: RunEntry, now_s: float) -> dict[str, object]:
+    """Write a run for a state dump.
+
+    Parameters
+    ----------
+    entry : RunEntry
+        The run.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    dict
+        Ready for JSON.
+    """
+    run = entry.run
+    return {
+        "id": run.id,
+        "started_ms": run.started_ms,
+        "service": run.service,
+        "sequence": run.sequence,
+        "draining": run.draining,
+        "ended": run.ended,
+        "silent": run.silent,
+        "heard_ago_s": round(now_s - entry.heard_s, 3),
+    }
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -16,7 +16,13 @@
     end_is_of,
     judge_report,
 )
-from agatethread.registry._entries import RunEntry, RunIndex, report_of, run_of
+from agatethread.registry._entries import (
+    RunEntry,
+    RunIndex,
+    describe,
+    report_of,
+    run_of,
+)
 from agatethread.registry._report import START_NOT_TOLD, Report
 from agatethread.wire.registry_pb2 import BackendRun
 
@@ -95,8 +101,8 @@
             If another writer sent it under this id; nothing was changed.
         """
         verdict = self._judge(report)
-        if verdict is Verdict.STARTS and self._is_unknown(report.service):
-            verdict = Verdict.UNKNOWN_SERVICE
+        if verdict is Verdict.STARTS:
+            verdict = self._judge_start(report)
         entry = self._follow(report, verdict)
         if verdict.is_refusal:
             raise ReportRefusedError(report.id, verdict.value)
@@ -109,9 +115,14 @@
         entry.direct_index = self.index
         return changed
 
-    def _is_unknown(self, service: str) -> bool:
+    def _judge_start(self, report: Report) -> Verdict:
+        """Check what only matters in the first report of a run."""
         # Before any table is known, every service may be one.
-        return bool(self.services) and service not in self.services
+        if self.services and report.service not in self.services:
+            return Verdict.UNKNOWN_SERVICE
+        if report.started_ms == START_NOT_TOLD and self._entries.tell_starts():
+            return Verdict.START_MISSING
+        return Verdict.STARTS
 
     def _judge(self, report: Report) -> Verdict:
         holder = self._entries.find_holder(report.address, report.id)
@@ -385,16 +396,4 @@
             Ready for JSON.
         """
         now_s = self._now_s()
-        return [
-            {
-                "id": entry.run.id,
-                "started_ms": entry.run.started_ms,
-                "service": entry.run.service,
-                "sequence": entry.run.sequence,
-                "draining": entry.run.draining,
-                "ended": entry.run.ended,
-                "silent": entry.run.silent,
-                "heard_ago_s": round(now_s - entry.heard_s, 3),
-            }
-            for entry in self._entries
-        ]
+        return [describe(entry, now_s) for entry in self._entries]
--- a/tests/registry/test_restarts.py
+++ b/tests/registry/test_restarts.py
@@ -127,6 +127,16 @@
                     self.table.report(report(**fields))
                 self.assertEqual(self.table.snapshot(), before)
 
+    def test_start_time_is_told_by_all_or_none(self):
+        """A new run that tells none is refused while a live run tells its own."""
+        untold = {"number": 9, "place": 9}
+        with self.assertRaises(ReportRefusedError):
+            self.table.report(report(**untold))
+        self.table.report(report(sequence=6, started_ms=1_000, draining=True))
+        self.table.leave("i-1")
+        self.assertTrue(self.table.report(report(**untold)))
+        self.assertTrue(self.table.report(report(number=8, place=8)))
+
     def test_every_service_may_be_one_before_any_table(self):
         """Without a routing table, backend servers are taken as they come."""
         table = RunTable(INTERVAL_S, Clock())
