--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,6 @@
 """Small fakes shared by the tests."""
 
+import os
 import socket
 from typing import Any
 
@@ -17,6 +18,12 @@
         return self.value_s
 
 
+def own_host(number: int) -> str:
+    """Loopback address number N of this process, for ports that can't be chosen."""
+    process = os.getpid()
+    return f"127.{110 + number}.{process >> 8 & 255}.{process & 255}"
+
+
 def address(number: int) -> bytes:
     """Packed address number N."""
     return pack_address(("127.0.0.1", number))
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -6,7 +6,7 @@
 import unittest
 from pathlib import Path
 
-from tests.fakes import free_port
+from tests.fakes import free_port, own_host
 from tests.platform.test_settings import TEXT
 
 ROOT = Path(__file__).parents[2]
@@ -35,7 +35,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.path = Path(folder.name) / "settings.conf"
-        host = "127.0.2.1"
+        host = own_host(3)
         text = TEXT.replace("10.1.0.10", host).replace("7720,7735", f"{free_port()},9")
         for port in ("8172", "8167"):
             text = text.replace(f"{host}:{port}", f"{host}:{free_port()}")
--- a/tests/platform/test_roles.py
+++ b/tests/platform/test_roles.py
@@ -11,10 +11,13 @@
 from agatethread_platform.http import HttpServer, Response
 from agatethread_platform.settings import PlatformSettings
 
-from tests.fakes import free_port
+from tests.fakes import free_port, own_host
 from tests.platform.test_bodies import CONFIGURATION, REPORT, changed
 from tests.platform.test_packets import SYN, datagram
 
+#: Metrics have a port of their own at the host's address.
+HOST, ENTRY_HOST = own_host(1), own_host(2)
+
 
 def call(address, method, path, body=b""):
     """Make one call; return the status, the body and the location."""
@@ -35,14 +38,14 @@
 def make_settings(folder, **fields):
     """Settings of one process on the loopback."""
     registry_port, log_port = free_ports()
-    api = f"127.0.0.1:{free_port()}"
+    api = f"{HOST}:{free_port()}"
     values = {
         "name": "node-1",
         "failure_domain": "hall-a",
-        "host": "127.0.0.1",
+        "host": HOST,
         "listen_host": "",
-        "datagrams": f"127.0.0.1:{free_port()}",
-        "readiness": f"127.0.0.1:{free_port()}",
+        "datagrams": f"{HOST}:{free_port()}",
+        "readiness": f"{HOST}:{free_port()}",
         "api": api,
         "seeds": (api,),
         "registry_port": registry_port,
@@ -185,7 +188,7 @@
             api="",
             seeds=self.settings.seeds,
             registry_port=self.settings.registry_port,
-            host="127.0.0.2",
+            host=ENTRY_HOST,
         )
         entry = EntryRole(entry_settings)
         await entry.start()
