--- a/src/agatethread/datapath/_flows.py
+++ b/src/agatethread/datapath/_flows.py
@@ -167,13 +167,7 @@
     def _note_answer(self, flow: Flow, packet: Packet, now_s: float) -> None:
         before = flow.acknowledged
         if not flow.opened or before is None:
-            # The first packet after the opening shows that the opening was answered.
-            if flow.busy and not flow.opened:
-                self.opening_s.record(now_s - flow.waits_since_s)
-            flow.opened = True
-            flow.acknowledged = packet.acknowledged
-            flow.progress = packet.sequence
-            flow.backend.answer(now_s)
+            self._note_first(flow, packet, now_s)
             return
         if _is_after(packet.acknowledged, before):
             flow.acknowledged = packet.acknowledged
@@ -184,6 +178,22 @@
                 flow.backend.note_answer_time(took_s)
             self._set_busy(flow, False)
 
+    def _note_first(self, flow: Flow, packet: Packet, now_s: float) -> None:
+        """Note the first packet seen after the opening, or of a flow that moved here.
+
+        After an opening of this instance's it shows that the opening was answered. On a
+        flow that moved here a request may be a copy of one that nobody answered through
+        the instance before; taken for an answer it hides a dead run from all instances.
+        """
+        was_opened_here = flow.busy and not flow.opened
+        if was_opened_here:
+            self.opening_s.record(now_s - flow.waits_since_s)
+        flow.opened = True
+        flow.acknowledged = packet.acknowledged
+        flow.progress = packet.sequence
+        if was_opened_here or not packet.payload_bytes:
+            flow.backend.answer(now_s)
+
     def _note_request(self, flow: Flow, packet: Packet, now_s: float) -> None:
         if flow.sent is not None and not _is_after(packet.sequence, flow.sent):
             # The same bytes again. One copy says as much as all of a window.
--- a/tests/datapath/test_flows.py
+++ b/tests/datapath/test_flows.py
@@ -53,6 +53,25 @@
         self.loads.note(packet(payload_bytes=80), self.backend, 0.0)
         self.assertEqual(self.counts(), (1, 1))
 
+    def test_request_on_a_flow_that_moved_here_is_no_answer(self):
+        """It may be a copy of one that went unanswered through another instance."""
+        self.backend.wait("another flow", 0.5)
+        self.loads.note(packet(payload_bytes=80), self.backend, 1.0)
+        self.assertEqual((self.backend.answered_s, len(self.backend.waiting)), (0.0, 1))
+        self.loads.note(packet(payload_bytes=80), self.backend, 1.4)
+        self.assertEqual(len(self.backend.waiting), 2)
+
+    def test_acknowledgement_on_a_flow_that_moved_here_is_an_answer(self):
+        """Callers send nothing without payload but when something has arrived."""
+        self.loads.note(packet(), self.backend, 1.0)
+        self.assertEqual(self.backend.answered_s, 1.0)
+
+    def test_request_on_a_flow_opened_here_is_an_answer(self):
+        """The opening went through this instance, so it was answered since."""
+        self.loads.open(opening().key, self.backend, 1.0)
+        self.loads.note(packet(payload_bytes=80), self.backend, 1.1)
+        self.assertEqual(self.backend.answered_s, 1.1)
+
     def test_flow_without_packets_is_dropped(self):
         """A flow that went on elsewhere is not counted for ever."""
         self.loads.open(opening().key, self.backend, 0.0)
--- a/tests/datapath/test_sightings.py
+++ b/tests/datapath/test_sightings.py
@@ -1,6 +1,6 @@
 import unittest
 
-from agatethread.datapath import Backend
+from agatethread.datapath import Backend, FlowLoads, label_of
 from agatethread.datapath._sightings import SharedSilence
 from agatethread.datapath._silence import Told, is_unreachable
 from agatethread.registry import SightingPool
@@ -135,22 +135,34 @@
 class Fleet:
     """Seven entry instances in three failure domains, each with some flows."""
 
-    def __init__(self, delay_s, is_shared, seed=1):
+    def __init__(self, delay_s, is_shared, seed=1, idempotent=False):
         self.plays = [
-            Play(delay_s, idempotent=False, flows=18, seed=seed * 100 + number)
+            Play(delay_s, idempotent, flows=18, seed=seed * 100 + number)
             for number in range(7)
         ]
         self.is_shared = is_shared
         self.pool = SightingPool()
 
-    def play(self, until_s):
+    def play(self, until_s, move_at_s=0.0):
         for step in range(1, int(until_s * 5) + 1):
             for play in self.plays:
                 play.play(step * 0.2)
+            if abs(step * 0.2 - move_at_s) < 0.1:
+                self.move_flows()
             if self.is_shared:
                 self.exchange(step * 0.2)
         return self
 
+    def move_flows(self):
+        """Send every flow to an instance that has not seen it, as after a restart."""
+        for play in self.plays:
+            forwarder = play.forwarder
+            forwarder.loads = FlowLoads(10_000)
+            for number in range(1, 8):
+                backend = forwarder._view.find(label_of(number))
+                backend.flows = backend.in_flight = 0
+                backend.waiting.clear()
+
     def exchange(self, now_s):
         for number, play in enumerate(self.plays):
             play.clock.value_s = now_s
@@ -173,6 +185,16 @@
         self.assertGreater(alone, 30)
         self.assertLess(told, alone * 0.75)
 
+    def test_flows_that_move_do_not_hide_a_dead_run(self):
+        """Copies that arrive at another instance say nothing of the run's life.
+
+        All flows move 0.4 s after the death. Of 7,300 requests 65 failed while a copy
+        was taken for an answer, and 11 since it is not.
+        """
+        fleets = [Fleet(dies_at_10, True, n, idempotent=True) for n in range(1, 7)]
+        failed = sum(fleet.play(20.0, 10.4).sum("failed") for fleet in fleets)
+        self.assertLess(failed, 30)
+
     def test_slow_run_keeps_its_flows(self):
         """However many instances wait for it, one that answers somebody is alive."""
         for seed in range(1, 4):
