--- a/scripts/settings_page.py
+++ b/scripts/settings_page.py
@@ -8,6 +8,7 @@
     ControlSettings,
     EntrySettings,
     LoggingSettings,
+    Policies,
     Settings,
     TlsSettings,
 )
@@ -19,6 +20,15 @@
     "control": ControlSettings,
     "tls": TlsSettings,
     "logging": LoggingSettings,
+    "policies": Policies,
+}
+_NOTES = {
+    "policies": [
+        "In a file of their own, on the users' platform only: `AGATETHREAD_POLICIES`",
+        "names it, and it is read at the start. `agatethreadctl policies` prints them;",
+        "what each guards against stands in `settings/_policies.py`.",
+        "",
+    ],
 }
 
 
@@ -32,11 +42,14 @@
 
 def _rule(field: dataclasses.Field) -> str:
     rules = field.metadata
+    off = f"off: {rules['off']}" if "off" in rules else ""
     if "minimum" in rules:
-        return f"{rules['minimum']} to {rules['maximum']} {unit_of(field.name)}".strip()
+        unit = unit_of(field.name)
+        allowed = f"{rules['minimum']} to {rules['maximum']} {unit}".strip()
+        return f"{allowed}; {off}" if off else allowed
     if "choices" in rules:
         return ", ".join(rules["choices"])
-    return "`IPv4:port`" if rules.get("address") else unit_of(field.name)
+    return "`IPv4:port`" if rules.get("address") else unit_of(field.name) or off
 
 
 def _type_name(hint: object) -> str:
@@ -56,6 +69,7 @@
     lines = ["# Settings", "", "Made by `scripts/settings_page.py`.", ""]
     for part, data_class in _PARTS.items():
         lines += [f"## {part or 'the process'}", ""]
+        lines += _NOTES.get(part, [])
         lines += ["| Field | Type | Default | Allowed |", "| --- | --- | --- | --- |"]
         hints = get_type_hints(data_class)
         for field in dataclasses.fields(data_class):
--- a/src/agatethread/cli/_ctl.py
+++ b/src/agatethread/cli/_ctl.py
@@ -20,6 +20,7 @@
     wait_in_force,
 )
 from agatethread.cli._calls import all_statuses as read_statuses
+from agatethread.cli._policies import describe_policies, read_policies
 from agatethread.cli._story import LogLine, explain, read_logs
 from agatethread.exceptions import (
     AgatethreadError,
@@ -37,7 +38,7 @@
 
 EXIT_DONE, EXIT_REFUSED, EXIT_USAGE = 0, 1, 2
 #: Commands that need no control instance.
-_LOCAL_COMMANDS = ("check", "explain")
+_LOCAL_COMMANDS = ("check", "explain", "policies")
 
 Handler = Callable[[argparse.Namespace, ControlTarget], Awaitable[int]]
 
@@ -196,6 +197,13 @@
     return EXIT_DONE if story.lines else EXIT_REFUSED
 
 
+async def _policies(options: argparse.Namespace, _: ControlTarget) -> int:
+    rows = describe_policies(await read_policies(options.at, options.file))
+    text = "\n".join(f"{row.name} = {row.value!r}  ({row.state})" for row in rows)
+    _print(options, {row.name: row.value for row in rows}, text)
+    return EXIT_DONE
+
+
 #: Fields of every line, and those that a line of text shows by itself.
 _SHOWN_FIELDS = {
     "time",
@@ -302,6 +310,16 @@
         "name", metavar="CALLER:PORT|RUN|version:N", type=_not_empty
     )
     explain_command.add_argument("logs", metavar="LOG", nargs="+")
+    policies = _add_command(
+        commands,
+        "policies",
+        _policies,
+        "print what instances decide by, in force or as a file says",
+        "policies --at 10.1.0.10:9464",
+    )
+    source = policies.add_mutually_exclusive_group()
+    source.add_argument("--at", default="", metavar="IP:PORT", help="metrics address")
+    source.add_argument("--file", default="", metavar="FILE", help="file of policies")
     for command in (apply, drain):
         command.add_argument("--change-id", default="", help="to send a change again")
     for command in (apply, drain, status):
--- a/src/agatethread/control/_hints.py
+++ b/src/agatethread/control/_hints.py
@@ -35,6 +35,8 @@
         Finds this member of the log; None while the log is not open.
     spawn : callable
         Runs a coroutine beside.
+    keeps_runs : bool, optional
+        Whether more than the commit index is saved.
     """
 
     def __init__(
@@ -44,12 +46,14 @@
         hub: RegistryHub,
         find_node: Callable[[], RaftNode | None],
         spawn: Callable[[Coroutine[Any, Any, None]], object],
+        keeps_runs: bool = True,
     ):
         self._folder = folder
         self._runs = runs
         self._hub = hub
         self._find_node = find_node
         self._spawn = spawn
+        self._keeps_runs = keeps_runs
         self._is_saving = False
         self._writing: asyncio.Future[None] | None = None
         #: Runs' changes, entry instances and commit index that the disk holds.
@@ -71,9 +75,11 @@
         runs = self._runs.snapshot()
         try:
             # In threads: a slow disk must not hold up reports.
-            if (now.runs, now.entries) != (self._saved.runs, self._saved.entries):
+            saved = self._saved
+            has_changed = (now.runs, now.entries) != (saved.runs, saved.entries)
+            if self._keeps_runs and has_changed:
                 await self._in_thread(save_hints, self._folder, runs, now.entries)
-            if node is not None and now.commit != self._saved.commit:
+            if node is not None and now.commit != saved.commit:
                 await self._in_thread(node.sync_commit_index)
             self._saved = now
         except (OSError, DiskFullError) as error:
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -9,6 +9,7 @@
 import importlib
 import zlib
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 from mode import Service
@@ -28,6 +29,7 @@
 )
 from agatethread.observability import Counters, Event, Histogram, Measures, make_logger
 from agatethread.registry import (
+    Hints,
     RegistryHub,
     RegistryTransport,
     Report,
@@ -139,12 +141,17 @@
 
     async def on_start(self) -> None:
         """Listen, and open the log as soon as the disk allows."""
-        hints = load_hints(self.settings.data_dir)
+        policies = self.settings.policies
+        hints = Hints()
+        if policies.keeps_hints:
+            hints = load_hints(self.settings.data_dir)
         self.runs.remember(hints.runs)
         self._transport.start(self._on_message)
-        self.hub.expect(hints.subscribers)
+        if policies.greets_known_entries:
+            self.hub.expect(hints.subscribers)
         self.timers.subscribe(_POLL_INTERVAL_S, self.subscription.poll)
-        self.timers.subscribe(_URGENT_INTERVAL_S, self.subscription.knock_urgently)
+        if policies.asks_urgently:
+            self.timers.subscribe(_URGENT_INTERVAL_S, self.subscription.knock_urgently)
         self.timers.subscribe(_FLUSH_INTERVAL_S, self.hub.flush)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self.runs.sweep)
         self.timers.subscribe(_SIGHTINGS_INTERVAL_S, self.hub.tell_sightings)
@@ -154,6 +161,7 @@
             self.hub,
             lambda: self.node,
             self.add_future,
+            policies.keeps_hints,
         )
         self.timers.subscribe(_REMEMBER_INTERVAL_S, self._hints.save)
         self.timers.subscribe(_MEMBERS_INTERVAL_S, self._manage_members)
@@ -469,6 +477,7 @@
             "failure_domain": self.settings.failure_domain,
             "runs": self.runs.dump(),
             "subscribers": self.hub.dump(),
+            "policies": asdict(self.settings.policies),
             "counters": dict(self.counters),
         }
         if node is not None:
--- a/src/agatethread/control/_routing_settings.py
+++ b/src/agatethread/control/_routing_settings.py
@@ -2,7 +2,12 @@
 
 from dataclasses import dataclass, field
 
-from agatethread.settings import ControlSettings, TlsSettings
+from agatethread.settings import (
+    DEFAULT_POLICIES,
+    ControlSettings,
+    Policies,
+    TlsSettings,
+)
 from agatethread.wire.control_pb2 import ControlMember
 
 #: A snapshot each 64 entries: so many tables of 100 kB take 5 % of a disk of 128 MB.
@@ -40,6 +45,8 @@
         what they send to the advertised one.
     timing : ControlSettings, optional
         Timing of the log; its folder and members are not used.
+    policies : Policies, optional
+        What it decides by.
     """
 
     name: str
@@ -54,6 +61,7 @@
     data_dir: str
     listen_host: str = ""
     timing: ControlSettings = DEFAULT_TIMING
+    policies: Policies = DEFAULT_POLICIES
     tls: TlsSettings | None = field(default=None)
 
     @property
--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -5,6 +5,7 @@
 from agatethread.datapath._packets import FlowKey
 from agatethread.observability import Event, make_logger
 from agatethread.registry import START_NOT_TOLD
+from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire import unpack_address
 from agatethread.wire.registry_pb2 import BackendRun
 
@@ -12,9 +13,8 @@
 #: may be a lost packet or a full queue.
 _FAILURES_BEFORE_PENALTY = 2
 #: The first pause is long enough for a few callers' second copies (200 ms apart) to
-#: show whether it answers; the longest costs a server that is back little.
+#: show whether it answers.
 _FIRST_PENALTY_S = 0.5
-_LONGEST_PENALTY_S = 4.0
 #: Time given to the one opening that tries an avoided server again: a caller sends its
 #: next copy after 200 ms.
 _TRIAL_S = 0.3
@@ -59,6 +59,8 @@
     ----------
     run : BackendRun
         What was told of it first.
+    policies : Policies, optional
+        How long it is avoided at most.
     """
 
     __slots__ = (
@@ -74,6 +76,7 @@
         "id",
         "in_flight",
         "label",
+        "longest_avoidance_s",
         "number",
         "penalty_until_s",
         "reporting",
@@ -91,7 +94,8 @@
         "warm_s",
     )
 
-    def __init__(self, run: BackendRun):
+    def __init__(self, run: BackendRun, policies: Policies = DEFAULT_POLICIES):
+        self.longest_avoidance_s = policies.longest_avoidance_s
         self.id = run.id
         self.number = run.number
         self.started_ms = run.started_ms
@@ -192,8 +196,7 @@
         beyond = self.failures - _FAILURES_BEFORE_PENALTY
         if beyond < 0:
             return
-        pause_s = min(_FIRST_PENALTY_S * 2 ** min(beyond, 8), _LONGEST_PENALTY_S)
-        self.penalty_until_s = now_s + pause_s
+        pause_s = self._avoid(_FIRST_PENALTY_S * 2 ** min(beyond, 8), now_s)
         log.info(
             Event.BACKEND_AVOIDED,
             run=self.id,
@@ -202,6 +205,12 @@
             pause_s=pause_s,
         )
 
+    def _avoid(self, pause_s: float, now_s: float) -> float:
+        """Give it no new flows for a pause; return how long it is in fact."""
+        pause_s = min(pause_s, self.longest_avoidance_s)
+        self.penalty_until_s = now_s + pause_s
+        return pause_s
+
     def _answered_ago_s(self, now_s: float) -> float | None:
         return round(now_s - self.answered_s, 3) if self.answered_s else None
 
@@ -217,7 +226,8 @@
         # Their callers are told, or wait for an answer that may still come.
         self.waiting.clear()
         self.failures = max(self.failures, _FAILURES_BEFORE_PENALTY)
-        self.penalty_until_s = max(self.penalty_until_s, now_s + _FIRST_PENALTY_S)
+        if self.penalty_until_s < now_s + _FIRST_PENALTY_S:
+            self._avoid(_FIRST_PENALTY_S, now_s)
 
     def start_trial(self, now_s: float) -> None:
         """Let nobody else try it until this opening shows whether it answers.
@@ -228,4 +238,4 @@
             Present time.
         """
         if self.failures >= _FAILURES_BEFORE_PENALTY:
-            self.penalty_until_s = now_s + _TRIAL_S
+            self._avoid(_TRIAL_S, now_s)
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -4,6 +4,7 @@
 
 from agatethread.datapath._backend import Backend
 from agatethread.observability import Counters, Event, make_logger
+from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire.registry_pb2 import BackendRun
 
 #: How long an ended run is remembered here, so that its flows are reset and not left
@@ -25,9 +26,17 @@
         Monotonic clock.
     counters : Counters
         Counts changes.
+    policies : Policies, optional
+        How runs are judged.
     """
 
-    def __init__(self, now_s: Callable[[], float], counters: Counters):
+    def __init__(
+        self,
+        now_s: Callable[[], float],
+        counters: Counters,
+        policies: Policies = DEFAULT_POLICIES,
+    ):
+        self._policies = policies
         self._now_s = now_s
         self._counters = counters
         self._by_id: dict[str, Backend] = {}
@@ -118,7 +127,7 @@
         return ended
 
     def _add(self, run: BackendRun) -> Backend:
-        backend = Backend(run)
+        backend = Backend(run, self._policies)
         self._by_id[run.id] = backend
         holder = self._by_label.get(backend.label)
         if holder is not None and not holder.ended:
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -29,6 +29,7 @@
     RouteTable,
     judge_open_flow,
 )
+from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire.registry_pb2 import Sighting
 
 #: A pause in which this instance can't have run: its timers call it each 0.2 s.
@@ -58,6 +59,8 @@
         Most flows whose load is counted.
     knows_all : callable
         Tells whether every backend server that reports is known here.
+    policies : Policies, optional
+        How flows are placed and ended.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         counters: Counters,
         flow_limit_count: int,
         knows_all: Callable[[], bool],
+        policies: Policies = DEFAULT_POLICIES,
     ):
         self._codec = codec
         self._view = view
@@ -78,6 +82,7 @@
         self._now_s = now_s
         self._counters = counters
         self._knows_all = knows_all
+        self._policies = policies
         self._ticked_s = now_s()
         self._awake_since_s = now_s()
         self.loads = FlowLoads(flow_limit_count)
@@ -142,6 +147,7 @@
             self._failure_domain,
             now_s,
             tried,
+            self._policies,
         )
         if backend is None:
             if self._knows_all():
@@ -240,7 +246,7 @@
         for backend in self._suspects():
             if not backend.unreachable and self._judge_silence(backend, now_s):
                 lost.append(backend)
-        if not lost:
+        if not lost or not self._policies.resets_idle_flows:
             return
         for key, flow in self.loads.of_runs(lost):
             self._end_flow(key, flow)
@@ -274,8 +280,9 @@
 
     def _judge_silence(self, backend: Backend, now_s: float) -> bool:
         others = self._view.of_service(backend.service)
+        told = self.shared.of(backend)
         if is_unreachable(
-            backend, others, now_s, self._awake_since_s, self.shared.of(backend)
+            backend, others, now_s, self._awake_since_s, told, self._policies
         ):
             backend.hold_for_gone(now_s)
         return backend.unreachable
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -1,7 +1,7 @@
 """An entry instance for labelled packets: its sockets, its tasks, its state."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Any
 
 from mode import Service
@@ -15,7 +15,12 @@
 from agatethread.observability import Counters, Event, Measures, make_logger
 from agatethread.registry import RegistryTransport, Subscription
 from agatethread.routing import decode_table
-from agatethread.settings import listen_address, parse_address
+from agatethread.settings import (
+    DEFAULT_POLICIES,
+    Policies,
+    listen_address,
+    parse_address,
+)
 from agatethread.sockets import (
     drain_into,
     open_socket,
@@ -43,6 +48,8 @@
 _URGENT_INTERVAL_S = 0.05
 _SWEEP_INTERVAL_S = 1.0
 _CHECK_INTERVAL_S = 0.1
+#: Rate of a link that never makes a packet wait.
+_UNPACED_BITS_PER_S = 1e12
 #: Pause between two questions of a stopping instance whether it may leave.
 _ASK_INTERVAL_S = 0.1
 
@@ -74,6 +81,8 @@
     listen_host : str, optional
         IP number to hear control instances at, where something in between forwards what
         they send to the advertised one.
+    policies : Policies, optional
+        What it decides by.
     """
 
     name: str
@@ -85,6 +94,7 @@
     link_bits_per_s: float
     flow_limit_count: int = 100_000
     listen_host: str = ""
+    policies: Policies = DEFAULT_POLICIES
 
 
 class LabelEntryInstance(Service):
@@ -108,12 +118,13 @@
         self.counters = counters
         self.timers = self.add_dependency(TimerService())
         now_s = self.timers.now_s
-        self.readiness = Readiness(now_s)
-        self.view = BackendView(now_s, counters)
+        policies = settings.policies
+        self.readiness = Readiness(now_s, policies)
+        self.view = BackendView(now_s, counters, policies)
         self._socket = open_socket(settings.datagrams)
         self.sender = PacedSender(
             send_or_count(self._socket, counters),
-            settings.link_bits_per_s,
+            settings.link_bits_per_s if policies.paces_packets else _UNPACED_BITS_PER_S,
             now_s,
             lambda delay_s, call: asyncio.get_running_loop().call_later(delay_s, call),
             counters,
@@ -127,6 +138,7 @@
             counters,
             settings.flow_limit_count,
             lambda: self.subscription.is_complete(),
+            policies,
         )
         self._transport = RegistryTransport(
             listen_address(settings.registry, settings.listen_host), counters
@@ -154,7 +166,8 @@
             drain_into(self._socket, self.forwarder.on_datagram, self.counters),
         )
         self.timers.subscribe(_POLL_INTERVAL_S, self.subscription.poll)
-        self.timers.subscribe(_URGENT_INTERVAL_S, self.subscription.knock_urgently)
+        if self._settings.policies.asks_urgently:
+            self.timers.subscribe(_URGENT_INTERVAL_S, self.subscription.knock_urgently)
         self.timers.subscribe(_JUDGE_INTERVAL_S, self._judge)
         self.timers.subscribe(_SUSPECT_INTERVAL_S, self._judge_suspects)
         self.timers.subscribe(_CHECK_INTERVAL_S, self._check_ready)
@@ -169,7 +182,8 @@
 
     async def leave(self) -> None:
         """Wait for a turn, ask for no more packets, forward those that still come."""
-        departure = Departure(self.timers.now_s, self._settings.grace_s)
+        settings = self._settings
+        departure = Departure(self.timers.now_s, settings.grace_s, settings.policies)
         waited_s = await self._wait_for_turn(departure)
         log.info(
             Event.LEAVING, flows=len(self.forwarder.loads), waited_s=round(waited_s, 3)
@@ -207,6 +221,8 @@
 
     def _judge_suspects(self) -> None:
         self.forwarder.end_flows_of_lost_runs()
+        if not self._settings.policies.shares_sightings:
+            return
         sightings = self.forwarder.sightings()
         if sightings:
             self.subscription.tell(sightings)
@@ -279,5 +295,6 @@
             "routes_version": self.forwarder.table.version,
             "flows": len(self.forwarder.loads),
             "backends": self.view.dump(),
+            "policies": asdict(self._settings.policies),
             "counters": dict(self.counters),
         }
--- a/src/agatethread/datapath/_leaving.py
+++ b/src/agatethread/datapath/_leaving.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from agatethread.registry import DomainView
+from agatethread.settings import DEFAULT_POLICIES, Policies
 
 #: Routers ask each half second, and send elsewhere after two misses. A longer notice
 #: would leave more instances out at a time when they restart in turn.
@@ -18,10 +19,6 @@
 _GRACE_RATIO = 0.6
 #: Left over of the time until it is killed, for ending what is open.
 _MARGIN_S = 0.8
-#: Longest wait for others. An instance has to be out of the routers' choice 4 s after
-#: it was told to stop (a hunted day of the users' bench counts it as serving on), and
-#: they need a second to notice; a start takes 0.9 s.
-_LONGEST_WAIT_S = 2.0
 #: No control instance answers within three polls: nobody can be asked.
 _UNANSWERED_S = 0.3
 #: Share of a failure domain's instances that may be out at a time. Half of them is
@@ -38,15 +35,24 @@
         Monotonic clock.
     grace_s : float
         Time from the order to stop until the process is killed.
+    policies : Policies, optional
+        How long it waits for others at most.
     """
 
-    def __init__(self, now_s: Callable[[], float], grace_s: float):
+    def __init__(
+        self,
+        now_s: Callable[[], float],
+        grace_s: float,
+        policies: Policies = DEFAULT_POLICIES,
+    ):
         self._now_s = now_s
         #: When the order came.
         self.asked_s = now_s()
         #: How long it goes on to forward afterwards.
         self.notice_s = min(NOTICE_S, _GRACE_RATIO * grace_s)
-        self._longest_wait_s = min(_LONGEST_WAIT_S, grace_s - self.notice_s - _MARGIN_S)
+        self._longest_wait_s = min(
+            policies.turn_wait_s, grace_s - self.notice_s - _MARGIN_S
+        )
 
     def may_go(self, domain: DomainView | None) -> bool:
         """Decide.
--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -11,19 +11,11 @@
 
 from agatethread.datapath._backend import Backend
 from agatethread.routing import Target
+from agatethread.settings import DEFAULT_POLICIES, Policies
 
 #: Share of a request that an open flow stands for: callers of long flows send one each
 #: two seconds or so, which takes 22 ms.
 _FLOW_LOAD = 0.02
-#: How much slower a server is just after its start, as measured on the platform.
-_COLD_FACTOR = 1.6
-#: Requests by which a server of the own failure domain must be busier before another
-#: domain's is chosen: bytes between domains cost, and take a millisecond more; an even
-#: load is worth more than both. Trials gave 0.949 with 1.5 and 0.946 with 0.
-_DOMAIN_PREFERENCE = 1.5
-#: Time after its reports stopped in which a run is still tried where no other is left:
-#: the longest cut that callers are to be served through.
-_OUT_OF_SIGHT_S = 12.0
 
 
 def choose_service(targets: Sequence[Target], draw: Callable[[], float]) -> str:
@@ -69,7 +61,9 @@
     return backend.reporting
 
 
-def may_be_alive(backend: Backend, now_s: float) -> bool:
+def may_be_alive(
+    backend: Backend, now_s: float, policies: Policies = DEFAULT_POLICIES
+) -> bool:
     """Tell whether a run that is out of sight may be tried where no other is left.
 
     What no control instance in sight hears may be cut off from them alone, or be back
@@ -81,6 +75,8 @@
         The run.
     now_s : float
         Present time.
+    policies : Policies, optional
+        For how long it is tried.
 
     Returns
     -------
@@ -89,16 +85,18 @@
     """
     if backend.draining or backend.ended or backend.shares_label:
         return False
-    return now_s - backend.silent_since_s < _OUT_OF_SIGHT_S
+    return now_s - backend.silent_since_s < policies.out_of_sight_s
 
 
-def _cost(backend: Backend, failure_domain: str, now_s: float) -> float:
+def _cost(
+    backend: Backend, failure_domain: str, now_s: float, policies: Policies
+) -> float:
     load = backend.in_flight + 1 + _FLOW_LOAD * backend.flows
     if now_s < backend.warm_s:
-        load *= _COLD_FACTOR
+        load *= policies.cold_factor
     load /= backend.slots
     if backend.failure_domain != failure_domain:
-        load += _DOMAIN_PREFERENCE / backend.slots
+        load += policies.domain_preference_count / backend.slots
     return load
 
 
@@ -108,6 +106,7 @@
     now_s: float,
     tried: Sequence[Backend] = (),
     may_take: Callable[[Backend], bool] = may_take_work,
+    policies: Policies = DEFAULT_POLICIES,
 ) -> Backend | None:
     """Choose the least loaded run, the nearest if loads are alike.
 
@@ -136,7 +135,7 @@
         cost = (
             backend in tried,
             now_s < backend.penalty_until_s,
-            _cost(backend, failure_domain, now_s),
+            _cost(backend, failure_domain, now_s, policies),
             random.random(),
         )
         if best is None or cost < best_cost:
@@ -150,6 +149,7 @@
     failure_domain: str,
     now_s: float,
     tried: Sequence[Backend] = (),
+    policies: Policies = DEFAULT_POLICIES,
 ) -> Backend | None:
     """Choose the run of a new flow among all services that may take it.
 
@@ -169,16 +169,23 @@
         Present time.
     tried : sequence of Backend, optional
         Runs that have not answered this flow.
+    policies : Policies, optional
+        Which runs may be tried.
 
     Returns
     -------
     Backend or None
         None when every run is known to be gone or leaving.
     """
-    for may_take in (may_take_work, lambda backend: may_be_alive(backend, now_s)):
+    if not policies.uses_other_services:
+        services = services[:1]
+    for may_take in (
+        may_take_work,
+        lambda backend: may_be_alive(backend, now_s, policies),
+    ):
         for service in services:
             backend = choose_backend(
-                runs_of(service), failure_domain, now_s, tried, may_take
+                runs_of(service), failure_domain, now_s, tried, may_take, policies
             )
             if backend is not None:
                 return backend
--- a/src/agatethread/datapath/_readiness.py
+++ b/src/agatethread/datapath/_readiness.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
+from agatethread.settings import DEFAULT_POLICIES, Policies
+
 #: A pause between two checks that means that the process stood still.
 _PAUSE_S = 2.0
-#: After a pause it waits so long at most to hear from a control instance.
-_RELEARN_S = 1.5
 #: It goes without knowing every backend server if none of the control instances can
 #: tell for so long: some service is better than none.
 _LONGEST_WAIT_S = 4.0
@@ -18,9 +18,14 @@
     ----------
     now_s : callable
         Monotonic clock.
+    policies : Policies, optional
+        How long it waits after a pause to hear from a control instance.
     """
 
-    def __init__(self, now_s: Callable[[], float]):
+    def __init__(
+        self, now_s: Callable[[], float], policies: Policies = DEFAULT_POLICIES
+    ):
+        self._relearn_wait_s = policies.relearn_wait_s
         self._now_s = now_s
         self._started_s = now_s()
         self._checked_s = self._started_s
@@ -55,8 +60,8 @@
         """
         now_s = self._now_s()
         if now_s - self._checked_s > _PAUSE_S:
-            self._relearn_until_s = now_s + _RELEARN_S
-        woke_s = self._relearn_until_s - _RELEARN_S
+            self._relearn_until_s = now_s + self._relearn_wait_s
+        woke_s = self._relearn_until_s - self._relearn_wait_s
         self._checked_s = now_s
         if self.stopping or not has_table or not has_backends:
             return False
--- a/src/agatethread/datapath/_silence.py
+++ b/src/agatethread/datapath/_silence.py
@@ -12,6 +12,7 @@
 
 from agatethread.datapath._backend import Backend
 from agatethread.observability import Event, make_logger
+from agatethread.settings import DEFAULT_POLICIES, Policies
 
 #: Open flows that wait: one may have lost its packets, and its copies, on its own way.
 _LEAST_WAITING = 3
@@ -98,6 +99,7 @@
     now_s: float,
     awake_since_s: float,
     told: Told = NOTHING_TOLD,
+    policies: Policies = DEFAULT_POLICIES,
 ) -> bool:
     """Decide whether a run is held for gone.
 
@@ -113,6 +115,8 @@
         Since when this instance has run without a pause.
     told : Told, optional
         What all instances see of it, this one among them.
+    policies : Policies, optional
+        How long a silence is enough.
 
     Returns
     -------
@@ -124,7 +128,8 @@
         backend.waiting.clear()
         return False
     silent_s = _silence_s(backend, now_s, told)
-    if silent_s < _enough_silence_s(backend, told) or now_s - awake_since_s < silent_s:
+    enough_s = _enough_silence_s(backend, told, policies)
+    if silent_s < enough_s or now_s - awake_since_s < silent_s:
         return False
     answering = _find_answering(backend, runs, now_s)
     if answering is None:
@@ -141,10 +146,10 @@
     return True
 
 
-def _enough_silence_s(backend: Backend, told: Told) -> float:
+def _enough_silence_s(backend: Backend, told: Told, policies: Policies) -> float:
     """Find how long a run has to be silent to be held for gone."""
     is_much = told.waiting >= _MANY_WAITING and told.observers >= _MANY_OBSERVERS
-    if not is_much or not backend.usual_answer_s:
+    if not (policies.judges_by_answer_time and is_much and backend.usual_answer_s):
         return _LEAST_SILENCE_S
     usual_s = _USUAL_ANSWERS * backend.usual_answer_s
     return min(max(usual_s, _LEAST_SHARED_SILENCE_S), _LEAST_SILENCE_S)
--- a/src/agatethread/settings/__init__.py
+++ b/src/agatethread/settings/__init__.py
@@ -15,36 +15,55 @@
     Settings,
     TlsSettings,
 )
+from agatethread.settings._policies import (
+    DEFAULT_POLICIES,
+    Policies,
+    policy_fields,
+    switch_off,
+)
 
 if TYPE_CHECKING:
     from agatethread.settings._checking import structure_checked
     from agatethread.settings._document import ServiceDocument, parse_document
-    from agatethread.settings._loading import load_settings, parse_settings
+    from agatethread.settings._loading import (
+        load_policies,
+        load_settings,
+        parse_policies,
+        parse_settings,
+    )
 
 #: Names that are imported when they are first used. Their modules load cattrs and
 #: json5, a sixth of the time in which a process starts that reads no such file.
 _LAZY = {
     "ServiceDocument": "_document",
+    "load_policies": "_loading",
     "load_settings": "_loading",
     "parse_document": "_document",
+    "parse_policies": "_loading",
     "parse_settings": "_loading",
     "structure_checked": "_checking",
 }
 
 __all__ = [
+    "DEFAULT_POLICIES",
     "ControlSettings",
     "EntrySettings",
     "LoggingSettings",
+    "Policies",
     "ServiceDocument",
     "Settings",
     "TlsSettings",
     "format_address",
     "listen_address",
+    "load_policies",
     "load_settings",
     "parse_address",
     "parse_document",
+    "parse_policies",
     "parse_settings",
+    "policy_fields",
     "structure_checked",
+    "switch_off",
 ]
 
 
--- a/src/agatethread/settings/_loading.py
+++ b/src/agatethread/settings/_loading.py
@@ -5,6 +5,7 @@
 from agatethread.exceptions import FieldError, SettingsError
 from agatethread.settings._checking import structure_checked
 from agatethread.settings._model import Settings
+from agatethread.settings._policies import Policies
 
 
 def _cross_faults(source: str, settings: Settings) -> list[FieldError]:
@@ -72,9 +73,56 @@
     SettingsError
         If the file can't be read or has faults.
     """
+    return parse_settings(path, _read(path))
+
+
+def load_policies(path: str) -> Policies:
+    """Read and check a file of policies.
+
+    Parameters
+    ----------
+    path : str
+        The file, JSON with comments; what it does not name keeps its default.
+
+    Returns
+    -------
+    Policies
+        The checked policies.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or has faults.
+    """
+    return parse_policies(path, _read(path))
+
+
+def parse_policies(source: str, text: str) -> Policies:
+    """Check the text of a file of policies.
+
+    Parameters
+    ----------
+    source : str
+        What to call the text in errors.
+    text : str
+        JSON with comments.
+
+    Returns
+    -------
+    Policies
+        The checked policies.
+
+    Raises
+    ------
+    SettingsError
+        With a `FieldError` for each fault.
+    """
+    return structure_checked(source, text, Policies, SettingsError)
+
+
+def _read(path: str) -> str:
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        return Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         fault = FieldError(path, "(file)", str(error), "a readable UTF-8 file")
         raise SettingsError(f"{path} can't be read", [fault]) from None
-    return parse_settings(path, text)
--- a/tests/control/test_hints.py
+++ b/tests/control/test_hints.py
@@ -50,3 +50,13 @@
                 await asyncio.gather(*self.tasks)
         saved = [call.args[2] for call in save.call_args_list]
         self.assertEqual(saved, [(b"1",), (b"1", b"2")])
+
+    async def test_backend_servers_are_not_saved_if_that_is_off(self):
+        """Then only the commit index goes to the disk."""
+        keeper = HintKeeper(
+            "folder", self.runs, self.hub, lambda: None, self.spawn, keeps_runs=False
+        )
+        with mock.patch("agatethread.control._hints.save_hints") as save:
+            keeper.save()
+            await asyncio.gather(*self.tasks)
+        save.assert_not_called()
--- /dev/null
+++ b/tests/control/test_policies.py
@@ -0,0 +1,62 @@
+import tempfile
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from agatethread.control import RoutingControl, RoutingControlSettings
+from agatethread.observability import Counters
+from agatethread.registry import save_hints
+from agatethread.settings import DEFAULT_POLICIES, switch_off
+from tests.datapath.worlds import run
+from tests.fakes import address, free_port
+
+
+class TestRoutingControlWithout(unittest.IsolatedAsyncioTestCase):
+    """A control instance that starts again, with one policy off."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        save_hints(folder.name, [run(1)], [address(9)])
+        ports = [f"127.0.0.1:{free_port()}" for _ in range(3)]
+        self.settings = RoutingControlSettings(
+            name="control",
+            failure_domain="a",
+            target=ports[0],
+            registry=ports[1],
+            api=ports[2],
+            seeds=(),
+            is_first_start=False,
+            report_interval_s=1.0,
+            losses_borne=0,
+            data_dir=folder.name,
+        )
+
+    async def start(self, name):
+        """Start it; return it, whom it greets, and what it calls at intervals."""
+        policies = switch_off(DEFAULT_POLICIES, name)
+        control = RoutingControl(replace(self.settings, policies=policies), Counters())
+        self.addAsyncCleanup(control.stop)
+        with (
+            mock.patch.object(control.hub, "expect") as expect,
+            mock.patch.object(control.timers, "subscribe") as subscribe,
+        ):
+            await control.start()
+        greeted = [one for call in expect.call_args_list for one in call.args[0]]
+        return control, greeted, [call.args[1] for call in subscribe.call_args_list]
+
+    async def test_hints(self):
+        """Without them it knows neither backend servers nor entry instances."""
+        control, greeted, _ = await self.start("keeps_hints")
+        self.assertEqual((len(control.runs), greeted), (0, []))
+
+    async def test_greeting(self):
+        """Without it entry instances are told when they ask."""
+        control, greeted, _ = await self.start("greets_known_entries")
+        self.assertEqual((len(control.runs), greeted), (1, []))
+
+    async def test_urgent_asks(self):
+        """Without them other control instances are asked at each poll only."""
+        control, greeted, calls = await self.start("asks_urgently")
+        self.assertEqual(greeted, [address(9)])
+        self.assertNotIn(control.subscription.knock_urgently, calls)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,12 +1,15 @@
+import os
 import platform
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import agatethread_platform
 from agatethread_platform.settings import SettingsWatch, parse_platform_settings
 
 from agatethread.exceptions import SettingsError
+from agatethread.settings import Policies
 
 TEXT = """node_name=edge-1
 zone=hall-a
@@ -45,6 +48,20 @@
             ["fault_tolerance.machines", "internal_port_range", "node_name"],
         )
 
+    def test_policies_are_read_from_a_file_of_their_own(self):
+        """The defaults hold without one; a wrong one is a fault like any other."""
+        self.assertEqual(parse_platform_settings("file", TEXT).policies, Policies())
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "policies.json5"
+            variables = {"AGATETHREAD_POLICIES": str(path)}
+            with mock.patch.dict(os.environ, variables):
+                path.write_text("{keeps_hints: false}")
+                settings = parse_platform_settings("file", TEXT)
+                self.assertEqual(settings.policies, Policies(keeps_hints=False))
+                path.write_text("{keeps_hints: 3}")
+                with self.assertRaises(SettingsError):
+                    parse_platform_settings("file", TEXT)
+
     def test_folder_does_not_shadow_the_standard_module(self):
         """The folder's name hides neither its package nor Python's own module."""
         self.assertTrue(platform.system())
