--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -8,25 +8,22 @@
 import asyncio
 import importlib
 import zlib
-from collections.abc import Callable
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 from mode import Service
 
 from agatethread.control._hints import HintKeeper
-from agatethread.control._identity import claim_name
+from agatethread.control._log_opening import note_opened, open_log
 from agatethread.control._member_keeper import MemberKeeper
 from agatethread.control._members import find_member
 from agatethread.control._raft import RaftNode
 from agatethread.control._roles import Role
+from agatethread.control._routing_changes import agree_on_routes, read_agreed_routes
 from agatethread.control._routing_settings import RoutingControlSettings
+from agatethread.control._routing_state import dump_log, make_measures
 from agatethread.control._storage import LogStorage
-from agatethread.exceptions import (
-    DiskFullError,
-    LogCorruptError,
-    UnavailableError,
-)
+from agatethread.exceptions import UnavailableError
 from agatethread.observability import Counters, Event, Histogram, Measures, make_logger
 from agatethread.registry import (
     Hints,
@@ -38,15 +35,11 @@
     Subscription,
     load_hints,
 )
-from agatethread.routing import RoutingDocument, check_document, encode_table
+from agatethread.routing import RoutingDocument, check_document
 from agatethread.settings import format_address, listen_address, parse_address
 from agatethread.timing import TimerService
 from agatethread.wire import pack_address, unpack_address
-from agatethread.wire.control_pb2 import (
-    Command,
-    ControlMember,
-    PutRoutes,
-)
+from agatethread.wire.control_pb2 import ControlMember
 from agatethread.wire.registry_pb2 import BackendRun, RegistryMessage, RoutingTable
 
 if TYPE_CHECKING:
@@ -64,11 +57,6 @@
 #: An acknowledgement of a report waits so long for the others to have it; its sender
 #: waits for a second.
 _SPREAD_LIMIT_S = 0.4
-#: A change that is not agreed by then has no clear outcome; its sender tries again.
-_CHANGE_LIMIT_S = 2.5
-#: A read that can't be confirmed by then is refused; its sender waits for a second.
-_READ_LIMIT_S = 0.8
-_REOPEN_S = 0.5
 #: Without a leader's heartbeat for so long, a newer table may have been agreed.
 _LED_S = 1.0
 #: Module that is loaded only when the rest serves already.
@@ -170,23 +158,10 @@
         log.info(Event.CONTROL_STARTED, instance=self.settings.name)
 
     async def _open_log(self) -> None:
-        while not self.should_stop:
-            storage = LogStorage(self.settings.data_dir)
-            try:
-                node = self._make_node(storage)
-                break
-            except LogCorruptError as error:
-                log.error(Event.LOG_SET_ASIDE, error=str(error))
-                self._set_aside(storage)
-            except DiskFullError as error:
-                log.error(Event.LOG_NOT_OPENED, error=str(error))
-            storage.close()
-            await self.sleep(_REOPEN_S)
-        else:
-            return
-
-        if self.should_stop:
-            storage.close()
+        node = await open_log(
+            self.settings, self._make_node, lambda: self.should_stop, self.sleep
+        )
+        if node is None:
             return
         # What the disk holds is served at once; the rest takes some time to load.
         node.subscribe(lambda: self._offer(node))
@@ -198,31 +173,12 @@
         await port.serve(node, self._keeper.on_join, target)
         self.node = node
         await self.add_runtime_dependency(node)
-        log.info(
-            Event.LOG_OPENED,
-            name=node.name,
-            last_index=node.last_index,
-            term=node.term,
-            members=len(node.members.members),
-        )
-
-    @staticmethod
-    def _set_aside(storage: LogStorage) -> None:
-        # A member that forgot a part of its log must not vote under its name again:
-        # the instance joins as a new member, like one with an empty disk.
-        try:
-            storage.set_aside()
-        except DiskFullError as error:
-            log.error(Event.LOG_NOT_SET_ASIDE, error=str(error))
+        note_opened(node)
 
-    def _make_node(self, storage: LogStorage) -> RaftNode:
-        settings = self.settings
-        name = claim_name(
-            storage, settings.target, settings.is_first_start, settings.seeds
-        )
+    def _make_node(self, name: str, storage: LogStorage) -> RaftNode:
         return RaftNode(
             name,
-            settings.timing,
+            self.settings.timing,
             storage,
             {},
             self.timers.now_s,
@@ -286,36 +242,12 @@
             If it is not known to have been agreed; it may be asked for again.
         """
         check_document(document)
-        node = self._opened_node()
-        if document.version <= node.documents.routes.version:
-            log.info(
-                Event.CHANGE_OVERTAKEN,
-                version=document.version,
-                version_held=node.documents.routes.version,
-            )
-            return
-        put = PutRoutes(
-            version=document.version,
-            source=zlib.compress(source, 1),
-            table=encode_table(document).SerializeToString(deterministic=True),
-        )
-        command = Command(put_routes=put).SerializeToString()
-        started_s, before = self.timers.now_s(), node.documents.routes.version
-        try:
-            outcome = await asyncio.wait_for(node.propose(command), _CHANGE_LIMIT_S)
-        except TimeoutError:
-            raise UnavailableError("the change was not agreed in time") from None
-        took_s = self.timers.now_s() - started_s
-        self.counters["changes_agreed"] += 1
-        self._change_s.record(took_s)
-        log.info(
-            Event.CHANGE_AGREED,
-            version=document.version,
-            version_before=before,
-            index=outcome.index,
-            term=node.term,
-            took_s=round(took_s, 3),
+        took_s = await agree_on_routes(
+            self._opened_node(), document, source, self.timers.now_s
         )
+        if took_s is not None:
+            self.counters["changes_agreed"] += 1
+            self._change_s.record(took_s)
 
     async def read_routes(self) -> bytes:
         """Read the newest agreed routing table.
@@ -332,10 +264,7 @@
         UnavailableError
             If it is not sure that it is the newest.
         """
-        node = self._opened_node()
-        await node.confirm_leadership(_READ_LIMIT_S)
-        source = node.documents.routes.source
-        return zlib.decompress(source) if source else b""
+        return await read_agreed_routes(self._opened_node())
 
     def _opened_node(self) -> RaftNode:
         if self.node is None:
@@ -443,24 +372,8 @@
         Measures
             Read when somebody asks for metrics.
         """
-
-        def of_log(read: Callable[[RaftNode], float]) -> Callable[[], float]:
-            return lambda: read(self.node) if self.node else 0.0
-
-        return Measures(
-            self.counters,
-            {
-                "runs": lambda: float(len(self.runs)),
-                "subscribers": lambda: float(len(self.hub.dump())),
-                "leads": of_log(lambda node: float(node.role is Role.LEADER)),
-                "term": of_log(lambda node: float(node.term)),
-                "commit_index": of_log(lambda node: float(node.commit_index)),
-                "leader_silent_s": of_log(lambda node: node.heard_leader_ago_s),
-                "routes_version": of_log(
-                    lambda node: float(node.documents.routes.version)
-                ),
-            },
-            {"change_s": self._change_s},
+        return make_measures(
+            self.counters, self.runs, self.hub, lambda: self.node, self._change_s
         )
 
     def dump(self) -> dict[str, Any]:
@@ -471,7 +384,6 @@
         dict
             Ready for JSON.
         """
-        node = self.node
         dump: dict[str, Any] = {
             "instance": self.settings.name,
             "failure_domain": self.settings.failure_domain,
@@ -480,23 +392,6 @@
             "policies": asdict(self.settings.policies),
             "counters": dict(self.counters),
         }
-        if node is not None:
-            dump["log"] = {
-                "name": node.name,
-                "role": node.role.value,
-                "term": node.term,
-                "leader": node.leader,
-                "commit_index": node.commit_index,
-                "last_index": node.last_index,
-                "routes_version": node.documents.routes.version,
-                "members": [
-                    {
-                        "name": member.name,
-                        "voter": member.voter,
-                        "silent_s": round(node.silence_s(member.name), 3),
-                        "lag_count": node.lag_count(member.name),
-                    }
-                    for member in node.members.members
-                ],
-            }
+        if self.node is not None:
+            dump["log"] = dump_log(self.node)
         return dump
