--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -331,7 +331,7 @@
     async def _spread(self, what: str, run_id: str, leaving: bool) -> None:
         # What was acknowledged must not be forgotten when this process dies.
         if not leaving:
-            self.hub.flush()
+            self.hub.tell_soon()
             return
         known = await self.hub.spread(_SPREAD_LIMIT_S)
         if not known:
@@ -360,7 +360,7 @@
 
     def _on_run(self, run: BackendRun) -> None:
         if self.runs.take(run):
-            self.hub.flush()
+            self.hub.tell_soon()
 
     # -- state --------------------------------------------------------------------
 
--- a/src/agatethread/registry/_chunks.py
+++ b/src/agatethread/registry/_chunks.py
@@ -1,8 +1,44 @@
-"""A routing table that arrives in parts, in any order and more than once."""
+"""A routing table in parts, which arrive in any order and more than once."""
 
 import zlib
+from dataclasses import dataclass
 
-from agatethread.wire.registry_pb2 import RoutesChunk, RoutingTable
+from agatethread.wire.registry_pb2 import RegistryMessage, RoutesChunk, RoutingTable
+
+#: Payload of one message, so that its datagram fits an Ethernet frame.
+MESSAGE_BYTES = 1_100
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesOffer:
+    """The newest agreed routing table, ready to be sent."""
+
+    version: int
+    compressed: bytes
+
+
+def split_routes(offer: RoutesOffer) -> list[RegistryMessage]:
+    """Split a table into messages.
+
+    Parameters
+    ----------
+    offer : RoutesOffer
+        The table.
+
+    Returns
+    -------
+    list of RegistryMessage
+        Its parts, in order.
+    """
+    parts = [
+        offer.compressed[start : start + MESSAGE_BYTES]
+        for start in range(0, len(offer.compressed), MESSAGE_BYTES)
+    ]
+    chunks = [
+        RoutesChunk(version=offer.version, number=number, count=len(parts), data=part)
+        for number, part in enumerate(parts)
+    ]
+    return [RegistryMessage(routes=chunk) for chunk in chunks]
 
 
 class ChunkedTable:
--- a/src/agatethread/registry/_entries.py
+++ b/src/agatethread/registry/_entries.py
@@ -28,10 +28,16 @@
 
 
 class RunIndex:
-    """The newest run of each id."""
+    """The newest run of each id, and the order in which runs changed."""
 
     def __init__(self) -> None:
         self._by_id: dict[str, RunEntry] = {}
+        #: By id, the one that changed last comes last, so that listing what is new does
+        #: not look at all: with 3,000 runs and 297 subscribers telling one change took
+        #: 33 ms of processor time, and 0.7 ms since, without the system calls.
+        self._by_change: dict[str, RunEntry] = {}
+        #: The same, with runs that only reported to this instance again.
+        self._by_report: dict[str, RunEntry] = {}
         self._by_number: dict[int, RunEntry] = {}
         self._holders: dict[bytes, RunEntry] = {}
 
@@ -65,6 +71,8 @@
 
     def add(self, run: BackendRun) -> RunEntry:
         """Keep a run in place of an earlier one of its id."""
+        self._by_change.pop(run.id, None)
+        self._by_report.pop(run.id, None)
         entry = self._by_id[run.id] = RunEntry(run)
         if run.number:
             self._by_number[run.number] = entry
@@ -77,13 +85,50 @@
         if self._holders.get(entry.run.address) is entry:
             del self._holders[entry.run.address]
 
+    def note_change(self, entry: RunEntry, index: int) -> None:
+        """Note that entry instances must know a run's present state."""
+        entry.changed_index = index
+        _move_to_end(self._by_change, entry)
+        _move_to_end(self._by_report, entry)
+
+    def note_report(self, entry: RunEntry, index: int) -> None:
+        """Note that a run has reported to this instance."""
+        entry.direct_index = index
+        _move_to_end(self._by_report, entry)
+
+    def changed_after(self, index: int, with_reports: bool) -> list[RunEntry]:
+        """List the runs that changed after an index, oldest first."""
+        order = self._by_report if with_reports else self._by_change
+        newer = []
+        for entry in reversed(order.values()):
+            if last_index(entry, with_reports) <= index:
+                break
+            newer.append(entry)
+        newer.reverse()
+        return newer
+
     def forget(self, entry: RunEntry) -> None:
         """Drop a run that ended long ago."""
-        del self._by_id[entry.run.id]
+        run_id = entry.run.id
+        del self._by_id[run_id]
+        self._by_change.pop(run_id, None)
+        self._by_report.pop(run_id, None)
         if self._by_number.get(entry.run.number) is entry:
             del self._by_number[entry.run.number]
 
 
+def _move_to_end(order: dict[str, RunEntry], entry: RunEntry) -> None:
+    order.pop(entry.run.id, None)
+    order[entry.run.id] = entry
+
+
+def last_index(entry: RunEntry, with_reports: bool) -> int:
+    """Find the index of a run's last change, or report if these count."""
+    if with_reports:
+        return max(entry.changed_index, entry.direct_index)
+    return entry.changed_index
+
+
 def report_of(run: BackendRun) -> Report:
     """Write what another control instance knows of a run as the run's report.
 
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -3,25 +3,22 @@
 import asyncio
 import secrets
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
+from agatethread.registry._chunks import MESSAGE_BYTES, RoutesOffer, split_routes
 from agatethread.registry._presence import count_domain
 from agatethread.registry._runs import RunTable
 from agatethread.registry._sightings import SightingPool
+from agatethread.registry._subscribers import Subscriber
 from agatethread.wire.registry_pb2 import (
     PRESENCE_LEAVING,
-    PRESENCE_UNKNOWN,
     BackendRun,
     ControlNode,
     Delta,
     Poll,
     RegistryMessage,
-    RoutesChunk,
     Sightings,
 )
 
-#: Payload of one message, so that its datagram fits an Ethernet frame.
-_MESSAGE_BYTES = 1_100
 #: Messages sent to one subscriber at a time, so that a full table does not fill the
 #: queue of a slow link (8 kB of 2 Mbit/s are 36 ms).
 _WINDOW_COUNT = 8
@@ -33,40 +30,13 @@
 _SUBSCRIBER_LEASE_S = 2.0
 _FORGET_SUBSCRIBER_S = 10.0
 
-Send = Callable[[RegistryMessage, bytes], None]
-
-
-@dataclass(frozen=True, slots=True)
-class RoutesOffer:
-    """The newest agreed routing table, ready to be sent."""
-
-    version: int
-    compressed: bytes
-
-
-class _Subscriber:
-    __slots__ = (
-        "failure_domain",
-        "heard_s",
-        "is_control",
-        "presence",
-        "routes_sent_s",
-        "routes_version",
-        "seen_index",
-        "sent_index",
-        "sent_s",
-    )
+#: Time between two rounds of telling everyone, for each subscriber: several times what
+#: a round takes for it (2.4 us before the system call). What changes sooner is told
+#: with the next round; without that each of 3,000 runs that report for the first time
+#: within a second, as after a loss of all power, has a round of its own.
+_ROUND_PAUSE_S = 0.00005
 
-    def __init__(self) -> None:
-        self.failure_domain = ""
-        self.is_control = False
-        self.presence = PRESENCE_UNKNOWN
-        self.heard_s = 0.0
-        self.seen_index = 0
-        self.sent_index = 0
-        self.sent_s = 0.0
-        self.routes_version = 0
-        self.routes_sent_s = 0.0
+Send = Callable[[RegistryMessage, bytes], None]
 
 
 class RegistryHub:
@@ -104,9 +74,11 @@
         self._is_settled = is_settled
         self._hears_leader = hears_leader
         self._incarnation = secrets.randbits(63) | 1
-        self._subscribers: dict[bytes, _Subscriber] = {}
+        self._subscribers: dict[bytes, Subscriber] = {}
         self._waiting: list[tuple[int, asyncio.Future[None]]] = []
         self._offer: RoutesOffer | None = None
+        self._chunks: list[RegistryMessage] = []
+        self._told_s = now_s()
         #: Entry instances that have not asked since this instance started.
         self._expected: list[bytes] = []
         self._sightings = SightingPool()
@@ -121,16 +93,16 @@
         """
         is_first = self._offer is None
         self._offer = offer
+        self._chunks = split_routes(offer)
         self.flush()
         if is_first:
-            self._greet(offer)
+            self._greet()
 
-    def _greet(self, offer: RoutesOffer) -> None:
-        chunks = _split_routes(offer)
+    def _greet(self) -> None:
         for address in self._expected:
             if address not in self._subscribers:
-                for chunk in chunks:
-                    self._send(RegistryMessage(routes=chunk), address)
+                for chunk in self._chunks:
+                    self._send(chunk, address)
         self._expected = []
 
     def controls(self) -> list[ControlNode]:
@@ -177,7 +149,7 @@
         deltas = self._deltas_after(0, with_reports=False)
         for address in self._expected:
             for delta in deltas:
-                self._send(RegistryMessage(delta=delta), address)
+                self._send(delta, address)
 
     # -- subscribers --------------------------------------------------------------
 
@@ -193,7 +165,7 @@
         """
         subscriber = self._subscribers.get(address)
         if subscriber is None:
-            subscriber = self._subscribers[address] = _Subscriber()
+            subscriber = self._subscribers[address] = Subscriber()
         is_same_run = poll.hub_incarnation == self._incarnation
         subscriber.seen_index = poll.seen_index if is_same_run else 0
         subscriber.failure_domain = poll.failure_domain
@@ -202,45 +174,65 @@
         subscriber.routes_version = poll.routes_version
         subscriber.heard_s = self._now_s()
         if poll.wants_reply:
-            self._send_changes(subscriber, address, is_reply=True)
+            self._reply(subscriber, address)
         self._send_routes(subscriber, address)
         self._settle_waiting()
 
+    def tell_soon(self) -> None:
+        """Send what is new, unless everyone was told just now.
+
+        Then it is left to the next call of `flush`, which is to come within 0.1 s.
+        """
+        pause_s = _ROUND_PAUSE_S * len(self._subscribers)
+        if self._now_s() - self._told_s >= pause_s:
+            self.flush()
+
     def flush(self) -> None:
         """Send what is new, and again what was not acknowledged in time."""
-        now_s = self._now_s()
+        now_s = self._told_s = self._now_s()
+        prepared: dict[tuple[int, bool], list[RegistryMessage]] = {}
         for address, subscriber in list(self._subscribers.items()):
             if now_s - subscriber.heard_s > _FORGET_SUBSCRIBER_S:
                 del self._subscribers[address]
                 continue
             if now_s - subscriber.heard_s > _SUBSCRIBER_LEASE_S:
                 continue
-            self._send_changes(subscriber, address, is_reply=False)
+            # Nearly all have the same index, so a message is made once for all.
+            key = (self._unsent_after(subscriber), subscriber.is_control)
+            if key not in prepared:
+                prepared[key] = self._deltas_after(*key)
+            self._send_changes(prepared[key], subscriber, address)
             self._send_routes(subscriber, address)
         self._settle_waiting()
 
-    def _send_changes(
-        self, subscriber: _Subscriber, address: bytes, is_reply: bool
-    ) -> None:
-        now_s = self._now_s()
-        after = subscriber.seen_index
-        if now_s - subscriber.sent_s < _RESEND_S:
-            after = max(after, subscriber.sent_index)
+    def _unsent_after(self, subscriber: Subscriber) -> int:
+        """Find the index up to which a subscriber needs nothing at present."""
+        if self._now_s() - subscriber.sent_s < _RESEND_S:
+            return max(subscriber.seen_index, subscriber.sent_index)
+        return subscriber.seen_index
+
+    def _reply(self, subscriber: Subscriber, address: bytes) -> None:
+        after = self._unsent_after(subscriber)
         messages = self._deltas_after(after, subscriber.is_control)
-        if not messages and not is_reply:
-            return
         if not messages:
             messages = [self._delta(after, [], after)]
-            messages[-1].complete = True
-        if is_reply:
-            self._add_reply(messages[-1], subscriber, address)
-        for delta in messages:
-            self._send(RegistryMessage(delta=delta), address)
-        if messages[-1].through_index > after:
-            subscriber.sent_index = messages[-1].through_index
-            subscriber.sent_s = now_s
-
-    def _add_reply(self, delta: Delta, subscriber: _Subscriber, address: bytes) -> None:
+            messages[-1].delta.complete = True
+        self._add_reply(messages[-1].delta, subscriber, address)
+        self._send_changes(messages, subscriber, address)
+
+    def _send_changes(
+        self, messages: list[RegistryMessage], subscriber: Subscriber, address: bytes
+    ) -> None:
+        if not messages:
+            return
+        for message in messages:
+            self._send(message, address)
+        through = messages[-1].delta.through_index
+        if through > messages[0].delta.after_index:
+            subscriber.sent_index = through
+            subscriber.sent_s = self._now_s()
+
+    def _add_reply(self, delta: Delta, subscriber: Subscriber, address: bytes) -> None:
         delta.controls.extend(self.controls())
         delta.hub.hears_leader = self._hears_leader()
         if subscriber.presence == PRESENCE_LEAVING:
@@ -248,16 +240,16 @@
             counts = count_domain(self._subscribers, address, self._now_s())
             delta.hub.domain.CopyFrom(counts)
 
-    def _deltas_after(self, after: int, with_reports: bool) -> list[Delta]:
+    def _deltas_after(self, after: int, with_reports: bool) -> list[RegistryMessage]:
         newest = self._runs.index if with_reports else self._runs.changed_index
         if after >= newest:
             return []
-        messages: list[Delta] = []
+        messages: list[RegistryMessage] = []
         runs: list[BackendRun] = []
         size, last = 0, after
         for index, run in self._runs.changes_after(after, with_reports):
             size += run.ByteSize() + 3
-            if runs and size > _MESSAGE_BYTES:
+            if runs and size > MESSAGE_BYTES:
                 messages.append(self._delta(after, runs, last))
                 after, runs, size = last, [], run.ByteSize()
                 if len(messages) == _WINDOW_COUNT:
@@ -266,11 +258,13 @@
             last = index
         if runs:
             messages.append(self._delta(after, runs, last))
-            messages[-1].complete = True
+            messages[-1].delta.complete = True
         return messages
 
-    def _delta(self, after: int, runs: list[BackendRun], through: int) -> Delta:
-        return Delta(
+    def _delta(
+        self, after: int, runs: list[BackendRun], through: int
+    ) -> RegistryMessage:
+        delta = Delta(
             hub_incarnation=self._incarnation,
             after_index=after,
             through_index=through,
@@ -278,8 +272,9 @@
             settled=self._is_settled(),
             failure_domain=self._failure_domain,
         )
+        return RegistryMessage(delta=delta)
 
-    def _send_routes(self, subscriber: _Subscriber, address: bytes) -> None:
+    def _send_routes(self, subscriber: Subscriber, address: bytes) -> None:
         offer = self._offer
         if offer is None or subscriber.is_control:
             return
@@ -289,8 +284,8 @@
         if now_s - subscriber.routes_sent_s < _RESEND_ROUTES_S:
             return
         subscriber.routes_sent_s = now_s
-        for chunk in _split_routes(offer):
-            self._send(RegistryMessage(routes=chunk), address)
+        for chunk in self._chunks:
+            self._send(chunk, address)
 
     # -- sightings ----------------------------------------------------------------
 
@@ -382,14 +377,3 @@
             }
             for address, subscriber in self._subscribers.items()
         ]
-
-
-def _split_routes(offer: RoutesOffer) -> list[RoutesChunk]:
-    parts = [
-        offer.compressed[start : start + _MESSAGE_BYTES]
-        for start in range(0, len(offer.compressed), _MESSAGE_BYTES)
-    ]
-    return [
-        RoutesChunk(version=offer.version, number=number, count=len(parts), data=part)
-        for number, part in enumerate(parts)
-    ]
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -20,6 +20,7 @@
     RunEntry,
     RunIndex,
     describe,
+    last_index,
     report_of,
     run_of,
 )
@@ -112,7 +113,7 @@
         changed = self._refresh(entry, report)
         if not changed:
             self.index += 1
-        entry.direct_index = self.index
+        self._entries.note_report(entry, self.index)
         return changed
 
     def _judge_start(self, report: Report) -> Verdict:
@@ -292,8 +293,8 @@
 
     def _mark(self, entry: RunEntry) -> None:
         self.index += 1
-        entry.changed_index = self.index
         self.changed_index = self.index
+        self._entries.note_change(entry, self.index)
 
     # -- restarts -----------------------------------------------------------------
 
@@ -377,15 +378,8 @@
         tuple of (int, BackendRun)
             Index of the change, and the run's present state.
         """
-        changed = []
-        for entry in self._entries:
-            last = entry.changed_index
-            if with_reports:
-                last = max(last, entry.direct_index)
-            if last > index:
-                changed.append((last, entry.run))
-        changed.sort(key=lambda change: change[0])
-        yield from changed
+        for entry in self._entries.changed_after(index, with_reports):
+            yield last_index(entry, with_reports), entry.run
 
     def dump(self) -> list[dict[str, object]]:
         """List the runs for a state dump.
--- a/tests/registry/test_runs.py
+++ b/tests/registry/test_runs.py
@@ -7,6 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from agatethread.registry import Hints, Report, RunTable, load_hints, save_hints
+from agatethread.registry._entries import last_index
 from tests.fakes import Clock, address
 
 INTERVAL_S = 1.2
@@ -191,6 +192,18 @@
             assert all(table.find(one).draining for one in draining)
             assert all(table.find(one).ended for one in ended)
 
+    @invariant()
+    def changes_are_those_that_a_walk_over_all_runs_finds(self):
+        for table in self.tables:
+            entries = list(table._entries)
+            for with_reports in (False, True):
+                last = {one.run.id: last_index(one, with_reports) for one in entries}
+                for after in range(table.index + 1):
+                    newer = [(index, run) for run, index in last.items()]
+                    expected = sorted(pair for pair in newer if pair[0] > after)
+                    found = table.changes_after(after, with_reports)
+                    assert [(index, run.id) for index, run in found] == expected
+
 
 TestRunMachine = RunMachine.TestCase
 TestRunMachine.settings = settings(max_examples=60, stateful_step_count=25)
