--- a/src/agatethread/registry/_link.py
+++ b/src/agatethread/registry/_link.py
@@ -18,6 +18,8 @@
     #: When it was asked last, and whether it has answered as far as the log says.
     asked_s: float = float("-inf")
     in_sight: bool = False
+    #: When it was asked last for what is new.
+    polled_s: float = float("-inf")
     #: Whether it says that it knows every backend server that reports.
     settled: bool = False
     #: Whether it hears a leader.
@@ -39,6 +41,7 @@
             Of its present run.
         """
         self.incarnation = incarnation
+        self.polled_s = float("-inf")
         self.seen_index = 0
         self.settled = False
         self.complete = False
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -189,8 +189,16 @@
         if followed and not self._is_control:
             silent = silent[:_FOLLOWED_COUNT]
         for link in silent:
-            link.knocked_s = now_s
-            self._send_poll(link, wants_reply=True)
+            self._knock_at(link)
+
+    def _knock_at(self, link: HubLink) -> None:
+        """Ask whether a control instance is there.
+
+        An entry instance asks those that are for the rest: of three that told it of all
+        runs and routes unasked, two would take its link in vain.
+        """
+        link.knocked_s = self._now_s()
+        self._send_poll(link, wants_reply=True, probe=not self._is_control)
 
     def _knock_at_home(self, followed: list[HubLink]) -> None:
         # The own failure domain's control instance is worth following as soon as it
@@ -201,12 +209,13 @@
         for link in self.links.values():
             at_home = link.failure_domain == self._failure_domain
             if at_home and now_s - link.knocked_s >= _HUB_LEASE_S:
-                link.knocked_s = now_s
-                self._send_poll(link, wants_reply=True)
+                self._knock_at(link)
 
-    def _send_poll(self, link: HubLink, wants_reply: bool) -> None:
+    def _send_poll(self, link: HubLink, wants_reply: bool, probe: bool = False) -> None:
         if wants_reply:
             link.asked_s = self._now_s()
+            if not probe:
+                link.polled_s = link.asked_s
         poll = Poll(
             hub_incarnation=link.incarnation,
             seen_index=link.seen_index,
@@ -215,6 +224,7 @@
             is_control=self._is_control,
             wants_reply=wants_reply,
             presence=self.presence,
+            probe=probe,
         )
         self._send(RegistryMessage(poll=poll), link.address)
 
@@ -251,6 +261,9 @@
             self.meet(control.address, control.failure_domain)
         if delta.HasField("hub"):
             self._note_hub(link, delta.hub)
+        if not delta.runs and not delta.complete:
+            self._on_greeting(link)
+            return
         if delta.after_index > link.seen_index:
             # Something before it was lost; it comes again.
             self._counters["registry_gap"] += 1
@@ -263,6 +276,13 @@
         if delta.complete:
             link.complete = True
 
+    def _on_greeting(self, link: HubLink) -> None:
+        """Ask a control instance that is there, unless one as good was asked."""
+        oldest_s = self._now_s() - _KNOCK_S
+        asked = [one for one in self.live() if one.polled_s > oldest_s]
+        if not asked or (link.settled and not any(one.settled for one in asked)):
+            self._send_poll(link, wants_reply=True)
+
     def _note_heard(self, link: HubLink, delta: Delta) -> None:
         now_s = self._now_s()
         if not link.in_sight:
