--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -140,9 +140,7 @@
         """Ask the followed control instances for what is new."""
         live = self.live()
         self._note_lost()
-        followed = (
-            live if self._is_control else choose_followed(live, self._failure_domain)
-        )
+        followed = live if self._is_control else self._choose_followed()
         self._routes_teller = choose_routes_teller(followed, self.routes_version)
         for link in followed:
             self._send_poll(link, wants_reply=True)
