--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -211,6 +211,8 @@
             self.subscription.on_chunk(message.routes, source)
         elif body == "sightings":
             self.forwarder.shared.take(message.sightings)
+        if self.subscription.has_whole_view():
+            self.forwarder.release_held()
 
     def _on_routes(self, table: RoutingTable) -> None:
         self.forwarder.take_table(decode_table(table))
