--- a/tests/datapath/test_holding.py
+++ b/tests/datapath/test_holding.py
@@ -195,8 +195,8 @@
     def test_callers_of_the_first_moments_are_served(self):
         """Their last copy came after the power, and before the process was loaded.
 
-        35 of the 165 requests of the outage were lost, and they waited 1.37 s on average;
-        now none is lost, and they wait 0.95 s.
+        35 of the 165 requests of the outage were lost, and they waited 1.37 s on
+        average; now none is lost, and they wait 0.95 s.
         """
         before = PowerLoss(1.65, switch_off(DEFAULT_POLICIES, "holds_packets"))
         after = PowerLoss(1.2)
