--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,23 +1,20 @@
 """Run a whole fleet as separate processes on the loopback addresses."""
 
 import asyncio
-import itertools
 import json
 import os
-import random
-import secrets
 import signal
-import socket
 import subprocess
 import sys
 import time
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 from agatethread.cli import ControlTarget, dump_instance
 from agatethread.exceptions import UnavailableError
 from standins.commands import send_command
+from standins.fleet_settings import ChangedSettings, FleetSettings
 from standins.layouts import Layout, ServiceLayout
 
 _ROOT = Path(__file__).resolve().parent.parent
@@ -26,34 +23,6 @@
 _DUMP_TIMEOUT_S = 2.0
 
 
-@dataclass(frozen=True)
-class Node:
-    """One process of the fleet."""
-
-    name: str
-    kind: str
-    failure_domain: str
-    command: tuple[str, ...]
-    control_port: str = ""
-
-
-#: Below the range from which the kernel picks ports for outgoing connections.
-_PORTS = itertools.cycle(range(12_000, 30_000))
-next(itertools.islice(_PORTS, random.randrange(18_000), None))
-
-
-def _free_address() -> str:
-    while True:
-        port = next(_PORTS)
-        try:
-            for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
-                with socket.socket(socket.AF_INET, kind) as probe:
-                    probe.bind(("127.0.0.1", port))
-        except OSError:
-            continue
-        return f"127.0.0.1:{port}"
-
-
 class Fleet:
     """Writes settings into a folder and starts, stops and kills processes.
 
@@ -81,172 +50,17 @@
     ):
         self.layout = layout
         self.folder = folder
-        self.seed = seed
-        self._entry_settings = entry_settings or {}
-        self._control_settings = control_settings or {}
-        self._caller_settings = caller_settings or {}
-        self._backend_settings = backend_settings or {}
-        self.nodes: dict[str, Node] = {}
         self.processes: dict[str, subprocess.Popen] = {}
         self._lacking: list[str] = []
-        self._link_nodes: list[dict[str, str]] = []
-        self._public: dict[str, str] = {}
-        self._admin: dict[str, str] = {}
-        self._listen: dict[str, str] = {}
-        self.service_addresses = {name: _free_address() for name in layout.services}
-        self._write_settings()
-
-    # -- settings -----------------------------------------------------------------
-
-    def _domain(self, number: int) -> str:
-        return self.layout.domains[number % len(self.layout.domains)]
-
-    def _write(self, name: str, data: dict[str, Any]) -> str:
-        path = self.folder / f"{name}.json5"
-        path.write_text(json.dumps(data, indent=2))
-        return str(path)
-
-    def _write_settings(self) -> None:
-        self.folder.mkdir(parents=True, exist_ok=True)
-        (self.folder / "seal.key").write_text(secrets.token_hex(32))
-        self._announce_key = secrets.token_hex(32)
-        (self.folder / "announce.key").write_text(self._announce_key)
-        self._write_control()
-        self._write_entries()
-        for service, layout in self.layout.services.items():
-            for number in range(layout.endpoint_count):
-                self._write_backend(service, layout, number)
-        self._write_fabric_and_link()
-        self._write_caller()
-
-    def _write_control(self) -> None:
-        names = [f"control-{n + 1}" for n in range(self.layout.control_count)]
-        members = {name: _free_address() for name in names}
-        for number, name in enumerate(names):
-            self._admin[name] = members[name]
-            settings = {
-                "name": name,
-                "failure_domain": self._domain(number),
-                "roles": ["control"],
-                "admin": members[name],
-                "plain_text": True,
-                "control": {
-                    "data_dir": str(self.folder / f"{name}.data"),
-                    "members": members,
-                }
-                | self._control_settings,
-            }
-            path = self._write(name, settings)
-            self._add_daemon(name, "control", self._domain(number), path)
-
-    def _add_daemon(self, name: str, kind: str, domain: str, path: str) -> None:
-        command = (sys.executable, "-m", "agatethread", "--config", path)
-        self.nodes[name] = Node(name, kind, domain, command)
-
-    def _public_address(self, name: str, domain: str, real: str) -> str:
-        public = _free_address()
-        self._public[name] = public
-        node = {"name": name, "real": real, "public": public, "failure_domain": domain}
-        self._link_nodes.append(node)
-        return public
-
-    def _write_entries(self) -> None:
-        control = [self._admin[name] for name in self._admin]
-        names = [f"entry-{n + 1}" for n in range(self.layout.entry_count)]
-        inner = {name: _free_address() for name in names}
-        for number, name in enumerate(names):
-            self._public_address(name, self._domain(number), inner[name])
-        for number, name in enumerate(names):
-            self._admin[name] = _free_address()
-            self._listen[name] = _free_address()
-            settings = {
-                "name": name,
-                "failure_domain": self._domain(number),
-                "roles": ["entry"],
-                "admin": self._admin[name],
-                "plain_text": True,
-                "entry": {
-                    "listen": self._listen[name],
-                    "inner": inner[name],
-                    "inner_advertised": self._public[name],
-                    "seeds": [self._public[seed] for seed in names[:3]],
-                    "control": control,
-                    "seal_key_file": str(self.folder / "seal.key"),
-                    "announce_key_file": str(self.folder / "announce.key"),
-                }
-                | self._entry_settings,
-            }
-            path = self._write(name, settings)
-            self._add_daemon(name, "entry", self._domain(number), path)
-
-    def _write_backend(self, service: str, layout: ServiceLayout, number: int) -> None:
-        name = f"{service}-{number + 1}"
-        domain = self._domain(number)
-        listen = _free_address()
-        self._public_address(name, domain, listen)
-        seeds = [
-            self._public[node.name]
-            for node in self.nodes.values()
-            if node.kind == "entry" and node.failure_domain == domain
-        ]
-        settings = {
-            "name": name,
-            "service": service,
-            "failure_domain": domain,
-            "listen": listen,
-            "instances": seeds,
-            "slots": layout.slots,
-            "connection_limit": layout.connection_limit,
-            "service_time_ms": layout.service_time_ms,
-            "push_interval_ms": 1000,
-            "announce_interval_ms": 1000,
-            "cold_start_s": 1.0,
-            "announce_key": self._announce_key,
-        } | self._backend_settings
-        self._add_standin(name, "backend", domain, "backend_server", settings)
-
-    def _add_standin(
-        self, name: str, kind: str, domain: str, module: str, settings: dict[str, Any]
-    ) -> None:
-        address = _free_address()
-        settings |= {
-            "command": address,
-            "seed": self.seed * 1000 + len(self.nodes),
-            "result": str(self.folder / f"{name}.result"),
-        }
-        path = self._write(name, settings)
-        command = (sys.executable, "-m", f"standins.{module}", path)
-        self.nodes[name] = Node(name, kind, domain, command, address)
-
-    def _write_fabric_and_link(self) -> None:
-        link = {"nodes": self._link_nodes, "delay_ms": self.layout.domain_delay_ms}
-        self._add_standin("link", "link", "", "link", link)
-        fabric = {
-            "services": self.service_addresses,
-            "instances": self._listen,
-            "delay_ms": self.layout.caller_delay_ms,
-        }
-        self._add_standin("fabric", "fabric", "", "fabric", fabric)
-
-    def _write_caller(self) -> None:
-        services = {
-            name: {
-                "address": self.service_addresses[name],
-                "streams": layout.stream_count,
-                "requests_per_s": layout.requests_per_s,
-                "idempotent_share": layout.idempotent_share,
-                "upload_bytes": layout.upload_bytes,
-            }
-            for name, layout in self.layout.services.items()
-        }
-        settings = {
-            "name": "caller",
-            "services": services,
-            "timeout_s": 5.0,
-            "sockets": 8,
-            "partner": "",
-        } | self._caller_settings
-        self._add_standin("caller", "caller", "", "caller", settings)
+        changes = ChangedSettings(
+            entry_settings or {},
+            control_settings or {},
+            caller_settings or {},
+            backend_settings or {},
+        )
+        written = FleetSettings(layout, folder, seed, changes)
+        self.nodes = written.nodes
+        self._admin = written.admin
 
     # -- processes ----------------------------------------------------------------
 
