--- /dev/null
+++ b/src/agatethread/entry/_datagrams.py
@@ -0,0 +1,208 @@
+"""Hands each datagram of an entry instance to the part that handles it."""
+
+from collections.abc import Callable
+
+from agatethread.entry._announcements import AnnouncementDesk
+from agatethread.entry._flows import FlowDesk
+from agatethread.entry._forwarding import Forwarder
+from agatethread.entry._placement import FlowPlacer
+from agatethread.entry._requests import RequestDesk
+from agatethread.exceptions import DatagramError
+from agatethread.membership import MemberTable, Prober
+from agatethread.wire import (
+    PEER_PREFIX,
+    Envelope,
+    Kind,
+    MemberRef,
+    MemberState,
+    Peer,
+    Reason,
+    Relay,
+    Sealer,
+    decode_envelope,
+    decode_peer,
+    pack_address,
+)
+
+#: Looked up once: an enum's attribute costs as much as the rest of the dispatch.
+_CLOSE = Kind.CLOSE
+_FLOW_KINDS = frozenset((Kind.DATA, Kind.KEEPALIVE, Kind.CLOSE))
+_STREAM_REPLIES = frozenset((Kind.PUSH, Kind.KEEPALIVE_ACK, Kind.OPENED, Kind.CLOSED))
+
+Address = tuple[str, int]
+
+
+class DatagramDesk:
+    """Decides by its kind which part of the instance a datagram is for.
+
+    Parameters
+    ----------
+    sealer : Sealer
+        Opens what other entry instances have sealed.
+    members : MemberTable
+        The fleet.
+    prober, announcements, forwarder, placer, flow_desk, requests
+        The parts of the instance that handle datagrams.
+    send_to_caller : callable
+        Sends a datagram from the callers' socket.
+    fresh_token : callable
+        Seals a token for a service.
+    """
+
+    def __init__(
+        self,
+        sealer: Sealer,
+        members: MemberTable,
+        prober: Prober,
+        announcements: AnnouncementDesk,
+        forwarder: Forwarder,
+        placer: FlowPlacer,
+        flow_desk: FlowDesk,
+        requests: RequestDesk,
+        send_to_caller: Callable[[bytes, Address], None],
+        fresh_token: Callable[[str], bytes],
+    ):
+        self._sealer = sealer
+        self._members = members
+        self._prober = prober
+        self._announcements = announcements
+        self._forwarder = forwarder
+        self._placer = placer
+        self._flow_desk = flow_desk
+        self._requests = requests
+        self._send_to_caller = send_to_caller
+        self._fresh_token = fresh_token
+
+    def on_caller_datagram(self, data: bytes, source: Address) -> None:
+        """Handle a datagram that came to the callers' socket.
+
+        Parameters
+        ----------
+        data : bytes
+            The datagram.
+        source : tuple of (str, int)
+            Where it came from.
+
+        Raises
+        ------
+        DatagramError, SealError
+            If it is of no use.
+        """
+        envelope = decode_envelope(data)
+        kind = envelope.kind
+        if kind in _FLOW_KINDS:
+            forwarded = self._forwarder.to_backend(data, envelope, source)
+            if kind == _CLOSE and forwarded:
+                self._flow_desk.on_close(envelope)
+            return
+        if kind == Kind.REQUEST:
+            self._requests.on_request(envelope, pack_address(source))
+            return
+        if kind == Kind.OPEN:
+            self._flow_desk.on_open(envelope, pack_address(source))
+            return
+        if kind == Kind.CANCEL:
+            self._requests.on_cancel(envelope)
+            return
+        if kind == Kind.MISSING:
+            self._requests.on_missing(envelope)
+            return
+        if kind == Kind.HELLO:
+            self._on_hello(envelope, source)
+            return
+        if kind == Kind.PROBE:
+            self._on_probe(envelope, source)
+            return
+        raise DatagramError("unexpected kind")
+
+    def on_inner_datagram(self, data: bytes, source: Address) -> None:
+        """Handle a datagram of a backend server or another entry instance.
+
+        Parameters
+        ----------
+        data : bytes
+            The datagram.
+        source : tuple of (str, int)
+            Where it came from.
+
+        Raises
+        ------
+        DatagramError, SealError
+            If it is of no use.
+        """
+        if data[:1] == PEER_PREFIX:
+            self._on_peer(decode_peer(self._sealer, data))
+            return
+
+        envelope = decode_envelope(data)
+        kind = envelope.kind
+        if kind in _STREAM_REPLIES:
+            label = self._forwarder.to_caller(data, envelope, source)
+            if label is not None:
+                self._flow_desk.on_reply(envelope, label)
+            return
+        if kind in (Kind.ANSWER, Kind.SHED):
+            if self._requests.on_backend_reply(data, envelope, pack_address(source)):
+                return
+            self._flow_desk.on_shed(envelope, pack_address(source))
+            return
+        if kind == Kind.MISSING:
+            self._requests.on_backend_missing(data, envelope)
+            return
+        if kind == Kind.ANNOUNCE:
+            self._announcements.on_announce(envelope, pack_address(source))
+            return
+        raise DatagramError("unexpected kind")
+
+    def _on_peer(self, peer: Peer) -> None:
+        body = peer.WhichOneof("body")
+        sender = MemberRef(peer.sender, peer.incarnation)
+        if body == "ping":
+            self._prober.on_ping(sender.address, peer.ping)
+        elif body == "ack":
+            self._prober.on_ack(peer.ack)
+        elif body == "relay":
+            self._on_relay(peer.relay)
+        elif body == "claim":
+            self._requests.claims.on_claim(sender, peer.claim)
+        elif body == "claim_reply":
+            self._requests.owner.claims.on_reply(peer.claim_reply)
+        elif body == "verdict_note":
+            self._requests.claims.on_verdict_note(peer.verdict_note)
+        elif body == "flow_closed":
+            closed = peer.flow_closed
+            self._placer.on_closed(closed.service, closed.flow_id, closed.endpoint)
+        elif body == "announcement":
+            self._announcements.on_relayed(peer.announcement)
+
+    def _on_relay(self, relay: Relay) -> None:
+        envelope = decode_envelope(relay.datagram)
+        if envelope.kind == Kind.OPEN:
+            self._placer.on_open(envelope, relay.caller)
+        elif envelope.kind == Kind.REQUEST:
+            self._requests.on_relayed_request(envelope, relay.caller)
+        elif envelope.kind == Kind.CANCEL:
+            self._requests.on_relayed_cancel(envelope)
+        elif envelope.kind == Kind.MISSING and envelope.return_label:
+            self._requests.on_backend_missing(relay.datagram, envelope)
+        elif envelope.kind == Kind.MISSING:
+            self._requests.on_missing(envelope)
+        elif envelope.kind in (Kind.ANSWER, Kind.SHED):
+            if not self._requests.on_relayed_reply(envelope, relay.caller):
+                self._flow_desk.on_shed(envelope, relay.caller)
+
+    def _on_hello(self, envelope: Envelope, source: Address) -> None:
+        welcome = Envelope(
+            kind=Kind.WELCOME,
+            service=envelope.service,
+            flow_id=envelope.flow_id,
+            token=self._fresh_token(envelope.service),
+        )
+        self._send_to_caller(welcome.SerializeToString(), source)
+
+    def _on_probe(self, envelope: Envelope, source: Address) -> None:
+        leaving = self._members.me.state == MemberState.LEAVING
+        answer = Envelope(kind=Kind.PROBE_ACK, sequence=envelope.sequence)
+        if leaving:
+            answer.reason = Reason.DRAINING
+        self._send_to_caller(answer.SerializeToString(), source)
--- a/src/agatethread/entry/_instance.py
+++ b/src/agatethread/entry/_instance.py
@@ -3,23 +3,25 @@
 import secrets
 import time
 from collections.abc import Callable
+from socket import socket
 
 from mode import Service
 
 from agatethread.entry._announcements import AnnouncementDesk
+from agatethread.entry._datagrams import DatagramDesk
 from agatethread.entry._documents import DocumentBook, DocumentWatcher
 from agatethread.entry._dump import dump_entry
 from agatethread.entry._flows import FlowDesk
 from agatethread.entry._forwarding import Forwarder
 from agatethread.entry._placement import FlowPlacer
 from agatethread.entry._requests import RequestDesk
-from agatethread.exceptions import DatagramError
 from agatethread.membership import Member, MemberTable, Prober
 from agatethread.observability import Counters, make_logger
 from agatethread.operations import Ports
 from agatethread.routing import Endpoint, EndpointTable, FlowTable
 from agatethread.settings import EntrySettings, Settings, parse_address
 from agatethread.sockets import (
+    Handler,
     drain_into,
     open_socket,
     send_or_count,
@@ -31,17 +33,10 @@
 from agatethread.wire import (
     MAX_DATAGRAM_BYTES,
     NO_MEMBER,
-    PEER_PREFIX,
-    Envelope,
-    Kind,
     MemberRef,
     MemberState,
     Peer,
-    Reason,
-    Relay,
     Token,
-    decode_envelope,
-    decode_peer,
     encode_peer,
     load_sealer,
     pack_address,
@@ -57,13 +52,6 @@
 _LEAVE_NOTICE_S = 1.0
 _STOP_POLL_S = 0.05
 
-#: Looked up once: an enum's attribute costs as much as the rest of the dispatch.
-_CLOSE = Kind.CLOSE
-_FLOW_KINDS = frozenset((Kind.DATA, Kind.KEEPALIVE, Kind.CLOSE))
-_STREAM_REPLIES = frozenset((Kind.PUSH, Kind.KEEPALIVE_ACK, Kind.OPENED, Kind.CLOSED))
-
-Address = tuple[str, int]
-
 log = make_logger("entry")
 
 
@@ -93,6 +81,18 @@
         self._build_fleet_parts(entry)
         self._build_flow_parts()
         self._build_request_parts(entry)
+        self._datagrams = DatagramDesk(
+            self.sealer,
+            self.members,
+            self.prober,
+            self.announcements,
+            self.forwarder,
+            self.placer,
+            self.flow_desk,
+            self.requests,
+            self._send_to_caller,
+            self.fresh_token,
+        )
 
     def _build_state(self, entry: EntrySettings) -> None:
         me = Member(
@@ -186,19 +186,16 @@
 
     async def on_start(self) -> None:
         """Start to read, and to dispatch after the warm-up."""
-        start_reading(
-            self._caller_socket,
-            drain_into(self._caller_socket, self._on_caller_datagram, self.counters),
-        )
-        start_reading(
-            self._inner_socket,
-            drain_into(self._inner_socket, self._on_inner_datagram, self.counters),
-        )
+        self._read(self._caller_socket, self._datagrams.on_caller_datagram)
+        self._read(self._inner_socket, self._datagrams.on_inner_datagram)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self._sweep)
         self.timers.subscribe(_REPAIR_INTERVAL_S, self.announcements.repair)
         self.add_future(self._warm_up())
         log.info("entry instance started", listen=self.settings.entry.listen)
 
+    def _read(self, opened: socket, handler: Handler) -> None:
+        start_reading(opened, drain_into(opened, handler, self.counters))
+
     async def _warm_up(self) -> None:
         # Every backend server announces itself in this time, so the new dispatcher
         # knows all of them before the first flow is placed by it.
@@ -277,114 +274,6 @@
         standby = ranked[1].ref if len(ranked) > 1 else NO_MEMBER
         return seal_token(self.sealer, Token(hashed, owner, standby))
 
-    # -- datagrams ----------------------------------------------------------------
-
-    def _on_caller_datagram(self, data: bytes, source: Address) -> None:
-        envelope = decode_envelope(data)
-        kind = envelope.kind
-        if kind in _FLOW_KINDS:
-            forwarded = self.forwarder.to_backend(data, envelope, source)
-            if kind == _CLOSE and forwarded:
-                self.flow_desk.on_close(envelope)
-            return
-        if kind == Kind.REQUEST:
-            self.requests.on_request(envelope, pack_address(source))
-            return
-        if kind == Kind.OPEN:
-            self.flow_desk.on_open(envelope, pack_address(source))
-            return
-        if kind == Kind.CANCEL:
-            self.requests.on_cancel(envelope)
-            return
-        if kind == Kind.MISSING:
-            self.requests.on_missing(envelope)
-            return
-        if kind == Kind.HELLO:
-            self._on_hello(envelope, source)
-            return
-        if kind == Kind.PROBE:
-            self._on_probe(envelope, source)
-            return
-        raise DatagramError("unexpected kind")
-
-    def _on_inner_datagram(self, data: bytes, source: Address) -> None:
-        if data[:1] == PEER_PREFIX:
-            self._on_peer(decode_peer(self.sealer, data))
-            return
-
-        envelope = decode_envelope(data)
-        kind = envelope.kind
-        if kind in _STREAM_REPLIES:
-            label = self.forwarder.to_caller(data, envelope, source)
-            if label is not None:
-                self.flow_desk.on_reply(envelope, label)
-            return
-        if kind in (Kind.ANSWER, Kind.SHED):
-            if self.requests.on_backend_reply(data, envelope, pack_address(source)):
-                return
-            self.flow_desk.on_shed(envelope, pack_address(source))
-            return
-        if kind == Kind.MISSING:
-            self.requests.on_backend_missing(data, envelope)
-            return
-        if kind == Kind.ANNOUNCE:
-            self.announcements.on_announce(envelope, pack_address(source))
-            return
-        raise DatagramError("unexpected kind")
-
-    def _on_peer(self, peer: Peer) -> None:
-        body = peer.WhichOneof("body")
-        sender = MemberRef(peer.sender, peer.incarnation)
-        if body == "ping":
-            self.prober.on_ping(sender.address, peer.ping)
-        elif body == "ack":
-            self.prober.on_ack(peer.ack)
-        elif body == "relay":
-            self._on_relay(peer.relay)
-        elif body == "claim":
-            self.requests.claims.on_claim(sender, peer.claim)
-        elif body == "claim_reply":
-            self.requests.owner.claims.on_reply(peer.claim_reply)
-        elif body == "verdict_note":
-            self.requests.claims.on_verdict_note(peer.verdict_note)
-        elif body == "flow_closed":
-            closed = peer.flow_closed
-            self.placer.on_closed(closed.service, closed.flow_id, closed.endpoint)
-        elif body == "announcement":
-            self.announcements.on_relayed(peer.announcement)
-
-    def _on_relay(self, relay: Relay) -> None:
-        envelope = decode_envelope(relay.datagram)
-        if envelope.kind == Kind.OPEN:
-            self.placer.on_open(envelope, relay.caller)
-        elif envelope.kind == Kind.REQUEST:
-            self.requests.on_relayed_request(envelope, relay.caller)
-        elif envelope.kind == Kind.CANCEL:
-            self.requests.on_relayed_cancel(envelope)
-        elif envelope.kind == Kind.MISSING and envelope.return_label:
-            self.requests.on_backend_missing(relay.datagram, envelope)
-        elif envelope.kind == Kind.MISSING:
-            self.requests.on_missing(envelope)
-        elif envelope.kind in (Kind.ANSWER, Kind.SHED):
-            if not self.requests.on_relayed_reply(envelope, relay.caller):
-                self.flow_desk.on_shed(envelope, relay.caller)
-
-    def _on_hello(self, envelope: Envelope, source: Address) -> None:
-        welcome = Envelope(
-            kind=Kind.WELCOME,
-            service=envelope.service,
-            flow_id=envelope.flow_id,
-            token=self.fresh_token(envelope.service),
-        )
-        self._send_to_caller(welcome.SerializeToString(), source)
-
-    def _on_probe(self, envelope: Envelope, source: Address) -> None:
-        leaving = self.members.me.state == MemberState.LEAVING
-        answer = Envelope(kind=Kind.PROBE_ACK, sequence=envelope.sequence)
-        if leaving:
-            answer.reason = Reason.DRAINING
-        self._send_to_caller(answer.SerializeToString(), source)
-
     # -- changes ------------------------------------------------------------------
 
     def _on_endpoint_changed(self, endpoint: Endpoint) -> None:
--- a/src/agatethread/sockets/__init__.py
+++ b/src/agatethread/sockets/__init__.py
@@ -1,6 +1,7 @@
 """Datagram sockets on the event loop."""
 
 from agatethread.sockets._datagrams import (
+    Handler,
     drain_into,
     open_socket,
     send_or_count,
@@ -9,6 +10,7 @@
 )
 
 __all__ = [
+    "Handler",
     "drain_into",
     "open_socket",
     "send_or_count",
--- a/tests/entry/test_instance.py
+++ b/tests/entry/test_instance.py
@@ -109,12 +109,12 @@
         return envelope.SerializeToString()
 
     def from_caller(self, *datagrams):
-        handler = self.instance._on_caller_datagram
+        handler = self.instance._datagrams.on_caller_datagram
         socket = FakeSocket((data, CALLER) for data in datagrams)
         drain_into(socket, handler, self.counters)()
 
     def from_inner(self, *datagrams, source=BACKEND):
-        handler = self.instance._on_inner_datagram
+        handler = self.instance._datagrams.on_inner_datagram
         socket = FakeSocket((data, source) for data in datagrams)
         drain_into(socket, handler, self.counters)()
 
