--- a/src/agatethread/operations/_owner.py
+++ b/src/agatethread/operations/_owner.py
@@ -1,13 +1,11 @@
 """The owner's side of an operation: one task takes it from admission to its verdict."""
 
-import asyncio
-import enum
 from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass
 from typing import Any
 
 from agatethread.observability import Counters, make_logger
 from agatethread.operations._asking import MOVED_RETRY_S, ClaimAsker
+from agatethread.operations._attempts import Attempts, End, Outcome, settle
 from agatethread.operations._large import LargeVerdicts
 from agatethread.operations._queue import ServiceQueue
 from agatethread.operations._records import (
@@ -15,11 +13,12 @@
     Ports,
     RefusedError,
     RetainedTable,
+    make_operation,
     refused,
     unknown,
 )
 from agatethread.routing import Endpoint
-from agatethread.transfer import Outbox, split, split_datagram
+from agatethread.transfer import split_datagram
 from agatethread.wire import (
     MAX_DATAGRAM_BYTES,
     NO_MEMBER,
@@ -31,33 +30,13 @@
     Sealer,
     Token,
     VerdictNote,
-    operation_id_parts,
-    seal_operation_label,
 )
 
 _TOO_LARGE_RETRY_S = 1.0
-#: An idempotent attempt that takes this many usual service times is tried elsewhere.
-_PATIENCE_FACTOR = 8
-_LEAST_PATIENCE_S = 0.5
 
 log = make_logger("operations")
 
 
-class _End(enum.Enum):
-    ANSWERED = enum.auto()
-    SHED = enum.auto()
-    LOST = enum.auto()
-    TIMED_OUT = enum.auto()
-    CANCELLED = enum.auto()
-
-
-@dataclass(frozen=True)
-class _Outcome:
-    end: _End
-    reply: Envelope | None = None
-    waited_s: float = 0.0
-
-
 class OperationOwner:
     """Operations that this run of this instance decides.
 
@@ -93,7 +72,6 @@
         large_limit_bytes: int,
     ):
         self._ports = ports
-        self._sealer = sealer
         self._queue_of = queue_of
         self._is_dispatcher = is_dispatcher
         self._start_task = start_task
@@ -101,7 +79,7 @@
         self.claims = ClaimAsker(ports, claim_timeout_s, counters)
         self._table: RetainedTable[Operation] = RetainedTable(limit_count, retention_s)
         self._running: set[Operation] = set()
-        self._outbox = Outbox()
+        self._attempts = Attempts(ports, sealer, counters)
         self._large = LargeVerdicts(ports, large_limit_bytes)
 
     def __len__(self) -> int:
@@ -128,7 +106,7 @@
         deadline_s : float
             Time until the deadline.
         """
-        operation = self._find_copy(envelope.operation_id)
+        operation = self._table.find(envelope.operation_id)
         if operation is not None:
             self._on_copy(operation, caller)
             return
@@ -188,23 +166,11 @@
         refusal = RefusedError(reason, _TOO_LARGE_RETRY_S)
         self._finish(operation, self._refusal(operation, refusal))
 
-    def _find_copy(self, operation_id: bytes) -> Operation | None:
-        return self._table.find(operation_id)
-
     def _make(
         self, envelope: Envelope, token: Token, caller: bytes, deadline_s: float
     ) -> Operation:
-        return Operation(
-            operation_id=envelope.operation_id,
-            service=envelope.service,
-            partner=envelope.partner,
-            caller=caller,
-            datagrams=split(envelope),
-            idempotent=envelope.idempotent,
-            deadline_at_s=self._ports.now_s() + deadline_s,
-            token=token,
-            nonce=operation_id_parts(envelope.operation_id)[1],
-        )
+        deadline_at_s = self._ports.now_s() + deadline_s
+        return make_operation(envelope, token, caller, deadline_at_s)
 
     def _on_copy(self, operation: Operation, caller: bytes) -> None:
         self._counters["operation_copies"] += 1
@@ -286,7 +252,7 @@
         indices : iterable of int
             Which ones.
         """
-        self._outbox.resend((operation_id, attempt), indices)
+        self._attempts.resend(operation_id, attempt, indices)
 
     async def _serve(self, operation: Operation) -> bytes:
         if not self._is_dispatcher(operation.service):
@@ -310,7 +276,7 @@
 
     async def _hold_slot(
         self, operation: Operation, queue: ServiceQueue, endpoint: Endpoint
-    ) -> _Outcome:
+    ) -> Outcome:
         started_s = self._ports.now_s()
         service_time_s = None
         try:
@@ -319,12 +285,12 @@
             if not operation.idempotent and operation.token.standby != NO_MEMBER:
                 await self.claims.ask(operation, endpoint)
                 self._check_startable(operation)
-            outcome = await self._attempt(operation, endpoint)
-            if outcome.end is _End.ANSWERED:
+            outcome = await self._attempts.run(operation, endpoint)
+            if outcome.end is End.ANSWERED:
                 service_time_s = self._ports.now_s() - started_s
             return outcome
         finally:
-            self._outbox.done((operation.operation_id, operation.attempt))
+            self._attempts.done(operation)
             queue.release(endpoint, service_time_s)
 
     def _check_startable(self, operation: Operation) -> None:
@@ -334,61 +300,6 @@
         if self._ports.now_s() >= operation.deadline_at_s:
             raise RefusedError(Reason.DEADLINE, MOVED_RETRY_S)
 
-    async def _attempt(self, operation: Operation, endpoint: Endpoint) -> _Outcome:
-        operation.endpoint = endpoint
-        operation.outcome = asyncio.get_running_loop().create_future()
-        had_run = operation.may_have_run
-        operation.may_have_run = True
-        self._dispatch(operation, endpoint)
-        self._counters["dispatched"] += 1
-        wait_s = operation.deadline_at_s - self._ports.now_s()
-        if operation.idempotent:
-            wait_s = min(wait_s, max(_LEAST_PATIENCE_S, wait_s / _PATIENCE_FACTOR))
-        try:
-            outcome = await asyncio.wait_for(operation.outcome, wait_s)
-            if outcome.end is _End.SHED:
-                operation.may_have_run = had_run
-            return outcome
-        except TimeoutError:
-            self._cancel_at_backend(operation)
-            return _Outcome(_End.TIMED_OUT, waited_s=wait_s)
-
-    def _dispatch(self, operation: Operation, endpoint: Endpoint) -> None:
-        label = OperationLabel(
-            operation.caller,
-            operation.token.owner,
-            operation.token.standby,
-            operation.nonce,
-            operation.attempt,
-        )
-        remaining_s = operation.deadline_at_s - self._ports.now_s()
-        # Appended fields replace those of the caller's datagram (protocol buffers
-        # encoding: the last value of a field counts).
-        suffix = Envelope(
-            return_label=seal_operation_label(self._sealer, label),
-            incarnation=endpoint.incarnation,
-            attempt=operation.attempt,
-            deadline_ms=max(1, round(remaining_s * 1000)),
-        ).SerializeToString()
-        self._outbox.start(
-            (operation.operation_id, operation.attempt),
-            [datagram + suffix for datagram in operation.datagrams],
-            lambda data: self._ports.send_backend(endpoint.address, data),
-        )
-
-    def _cancel_at_backend(self, operation: Operation) -> None:
-        endpoint = operation.endpoint
-        if endpoint is None:
-            return
-        cancel = Envelope(
-            kind=Kind.CANCEL,
-            service=operation.service,
-            operation_id=operation.operation_id,
-            incarnation=endpoint.incarnation,
-            attempt=operation.attempt,
-        )
-        self._ports.send_backend(endpoint.address, cancel.SerializeToString())
-
     def on_reply(
         self, operation_id: bytes, label: OperationLabel, envelope: Envelope
     ) -> None:
@@ -407,13 +318,8 @@
         if operation is None or operation.attempt != label.attempt:
             self._counters["reply_late"] += 1
             return
-        ends = {Kind.ANSWER: _End.ANSWERED, Kind.SHED: _End.SHED}
-        self._settle(operation, _Outcome(ends[envelope.kind], envelope))
-
-    @staticmethod
-    def _settle(operation: Operation, outcome: _Outcome) -> None:
-        if operation.outcome is not None and not operation.outcome.done():
-            operation.outcome.set_result(outcome)
+        ends = {Kind.ANSWER: End.ANSWERED, Kind.SHED: End.SHED}
+        settle(operation, Outcome(ends[envelope.kind], envelope))
 
     def on_cancel(self, operation_id: bytes) -> None:
         """Cancel an operation for its caller.
@@ -427,8 +333,8 @@
         if operation is None or operation.verdict is not None:
             return
         operation.cancelled = True
-        self._cancel_at_backend(operation)
-        self._settle(operation, _Outcome(_End.CANCELLED))
+        self._attempts.cancel(operation)
+        settle(operation, Outcome(End.CANCELLED))
 
     def on_endpoint_gone(self, endpoint: Endpoint) -> None:
         """Settle what was in flight at a backend server that died.
@@ -440,19 +346,19 @@
         """
         for operation in self._running:
             if operation.endpoint is endpoint:
-                self._settle(operation, _Outcome(_End.LOST))
+                settle(operation, Outcome(End.LOST))
 
     def _judge(
         self,
         operation: Operation,
         queue: ServiceQueue,
         endpoint: Endpoint,
-        outcome: _Outcome,
+        outcome: Outcome,
     ) -> bytes | None:
         operation.endpoint = None
         operation.outcome = None
         now_s = self._ports.now_s()
-        if outcome.end is _End.ANSWERED:
+        if outcome.end is End.ANSWERED:
             endpoint.succeed()
             self._counters["answered"] += 1
             return Envelope(
@@ -462,7 +368,7 @@
                 token=self._ports.fresh_token(operation.service),
             ).SerializeToString()
 
-        if outcome.end is _End.SHED:
+        if outcome.end is End.SHED:
             retry_after_s = outcome.reply.retry_after_ms / 1000
             endpoint.fail(now_s, retry_after_s)
             self._counters["shed"] += 1
@@ -470,10 +376,9 @@
                 return None
             raise RefusedError(Reason.OVERLOADED, max(retry_after_s, 0.05))
 
-        timed_out = outcome.end is _End.TIMED_OUT
-        if outcome.end is _End.LOST or (
-            timed_out and queue.is_patient(outcome.waited_s)
-        ):
+        timed_out = outcome.end is End.TIMED_OUT
+        was_patient = timed_out and queue.is_patient(outcome.waited_s)
+        if outcome.end is End.LOST or was_patient:
             endpoint.fail(now_s)
         in_time = now_s < operation.deadline_at_s and not operation.cancelled
         if operation.idempotent and in_time and queue.spend_retry():
@@ -481,12 +386,12 @@
             return None
         return self._unknown(operation, outcome.end)
 
-    def _unknown(self, operation: Operation, end: _End) -> bytes:
+    def _unknown(self, operation: Operation, end: End) -> bytes:
         self._counters["unknown"] += 1
         reasons = {
-            _End.LOST: Reason.BACKEND_LOST,
-            _End.TIMED_OUT: Reason.DEADLINE,
-            _End.CANCELLED: Reason.CANCELLED,
+            End.LOST: Reason.BACKEND_LOST,
+            End.TIMED_OUT: Reason.DEADLINE,
+            End.CANCELLED: Reason.CANCELLED,
         }
         fresh = self._ports.fresh_token(operation.service)
         return unknown(operation.operation_id, reasons[end], fresh)
--- a/src/agatethread/operations/_records.py
+++ b/src/agatethread/operations/_records.py
@@ -8,7 +8,16 @@
 
 from agatethread.exceptions import AgatethreadError
 from agatethread.routing import Endpoint
-from agatethread.wire import Envelope, Kind, MemberRef, Peer, Reason, Token
+from agatethread.transfer import split
+from agatethread.wire import (
+    Envelope,
+    Kind,
+    MemberRef,
+    Peer,
+    Reason,
+    Token,
+    operation_id_parts,
+)
 
 _Record = TypeVar("_Record")
 
@@ -211,3 +220,37 @@
     return Envelope(
         kind=Kind.UNKNOWN, operation_id=operation_id, reason=reason, token=token
     ).SerializeToString()
+
+
+def make_operation(
+    envelope: Envelope, token: Token, caller: bytes, deadline_at_s: float
+) -> Operation:
+    """Make the record of an operation from its request.
+
+    Parameters
+    ----------
+    envelope : Envelope
+        The request.
+    token : Token
+        Names the instances that may decide it.
+    caller : bytes
+        Packed address of the caller.
+    deadline_at_s : float
+        When the caller gives up.
+
+    Returns
+    -------
+    Operation
+        Not yet started.
+    """
+    return Operation(
+        operation_id=envelope.operation_id,
+        service=envelope.service,
+        partner=envelope.partner,
+        caller=caller,
+        datagrams=split(envelope),
+        idempotent=envelope.idempotent,
+        deadline_at_s=deadline_at_s,
+        token=token,
+        nonce=operation_id_parts(envelope.operation_id)[1],
+    )
