--- a/src/agatethread/operations/_owner.py
+++ b/src/agatethread/operations/_owner.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
-from agatethread.observability import Counters, make_logger
+from agatethread.observability import Counters
 from agatethread.operations._asking import MOVED_RETRY_S, ClaimAsker
 from agatethread.operations._attempts import Attempts, End, Outcome, settle
 from agatethread.operations._large import LargeVerdicts
@@ -34,8 +34,6 @@
 
 _TOO_LARGE_RETRY_S = 1.0
 
-log = make_logger("operations")
-
 
 class OperationOwner:
     """Operations that this run of this instance decides.
