--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -28,7 +28,8 @@
     switch_off,
 )
 
-#: Variant with every policy at its default.
+#: Variant with every policy at its default; with a number behind it when it is played
+#: again, which shows by how much plays differ that should not.
 ALL_ON = "all on"
 #: A day of the largest deployments takes some ten minutes on a busy machine.
 _LONGEST_PLAY_S = 1_800.0
@@ -117,7 +118,8 @@
     Parameters
     ----------
     variant : str
-        `ALL_ON`, or names of the policies that are off, joined by ``+``.
+        `ALL_ON`, also with a number, or names of the policies that are off, joined by
+        ``+``.
 
     Returns
     -------
@@ -130,7 +132,7 @@
         If there is no policy of a name.
     """
     policies = DEFAULT_POLICIES
-    if variant == ALL_ON:
+    if variant.startswith(ALL_ON):
         return policies
     for name in variant.split("+"):
         policies = switch_off(policies, name)
@@ -274,6 +276,9 @@
         default=[one.name for one in policy_fields()],
         help="policies to switch off, each in turn; NAME+NAME for two together",
     )
+    parser.add_argument(
+        "--repeats", type=int, default=3, help="plays with all policies on"
+    )
     parser.add_argument("--jobs", type=int, default=2, help="days at a time")
     parser.add_argument("--results", type=Path, required=True)
     options = parser.parse_args()
@@ -282,7 +287,9 @@
             policies_of(variant)
         except KeyError as error:
             parser.error(f"no policy {error}")
-    plays = plan([ALL_ON, *options.off], options.sites, options.days, options.seeds)
+    again = [f"{ALL_ON} {number}" for number in range(2, options.repeats + 1)]
+    variants = [ALL_ON, *again, *options.off]
+    plays = plan(variants, options.sites, options.days, options.seeds)
     failures = play_all(options.command, plays, options.results, options.jobs)
     sys.exit(1 if failures else 0)
 
--- a/benchmarks/ablation_report.py
+++ b/benchmarks/ablation_report.py
@@ -30,8 +30,21 @@
     rules_broken: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class _Pair:
+    """A play with something off, beside the same day and seed with all on."""
+
+    worth_ratio: float
+    more_failed_count: float
+    more_late_count: float
+    rules_broken: tuple[str, ...]
+
+
 def compare(records: Iterable[Record]) -> list[Effect]:
-    """Pair each play with the one of the same day and seed with all on.
+    """Pair each play with the mean of those of the same day and seed with all on.
+
+    A play with all on is paired with the others of its kind, which shows how much of an
+    effect is chance.
 
     Parameters
     ----------
@@ -44,17 +57,40 @@
         By deployment, the most worth first.
     """
     outcomes = {record.play: record.outcome for record in records}
-    pairs: dict[tuple[str, str], list[tuple[Outcome, Outcome]]] = defaultdict(list)
-    for play, off in outcomes.items():
-        on = outcomes.get(Play(ALL_ON, play.site, play.day, play.seed))
-        if play.variant != ALL_ON and on is not None:
-            pairs[play.site, play.variant].append((on, off))
+    on: dict[tuple[str, str, int], dict[str, Outcome]] = defaultdict(dict)
+    for play, outcome in outcomes.items():
+        if play.variant.startswith(ALL_ON):
+            on[_day_of(play)][play.variant] = outcome
+    pairs: dict[tuple[str, str], list[_Pair]] = defaultdict(list)
+    for play, outcome in outcomes.items():
+        others = [
+            one for name, one in on[_day_of(play)].items() if name != play.variant
+        ]
+        if others:
+            name = ALL_ON if play.variant.startswith(ALL_ON) else play.variant
+            pairs[play.site, name].append(_pair(others, outcome))
     effects = [_sum_up(*key, found) for key, found in pairs.items()]
     return sorted(effects, key=lambda one: (one.site, -one.worth_ratio))
 
 
-def _sum_up(site: str, variant: str, pairs: list[tuple[Outcome, Outcome]]) -> Effect:
-    differences = [on.worth_ratio - off.worth_ratio for on, off in pairs]
+def _day_of(play: Play) -> tuple[str, str, int]:
+    return play.site, play.day, play.seed
+
+
+def _pair(on: list[Outcome], off: Outcome) -> _Pair:
+    def more(name: str) -> float:
+        return _count(off, name) - mean(_count(one, name) for one in on)
+
+    return _Pair(
+        mean(one.worth_ratio for one in on) - off.worth_ratio,
+        more("failed_count"),
+        more("late_count"),
+        off.rules_broken,
+    )
+
+
+def _sum_up(site: str, variant: str, pairs: list[_Pair]) -> Effect:
+    differences = [pair.worth_ratio for pair in pairs]
     error = math.inf
     if len(pairs) > 1:
         error = stdev(differences) / math.sqrt(len(pairs))
@@ -66,19 +102,12 @@
         error,
         min(differences),
         max(differences),
-        sum(
-            _count(off, "failed_count") - _count(on, "failed_count")
-            for on, off in pairs
-        ),
-        sum(_count(off, "late_count") - _count(on, "late_count") for on, off in pairs),
-        tuple(sorted({rule for _, off in pairs for rule in off.rules_broken})),
+        round(sum(pair.more_failed_count for pair in pairs)),
+        round(sum(pair.more_late_count for pair in pairs)),
+        tuple(sorted({rule for pair in pairs for rule in pair.rules_broken})),
     )
 
 
-def _count_more(pairs: list[tuple[Outcome, Outcome]], name: str) -> int:
-    return sum(_count(off, name) - _count(on, name) for on, off in pairs)
-
-
 def _count(outcome: Outcome, name: str) -> int:
     return sum(getattr(one, name) for one in outcome.classes)
 
--- a/tests/benchmarks/test_ablation.py
+++ b/tests/benchmarks/test_ablation.py
@@ -123,3 +123,17 @@
         ]
         (effect,) = compare(records)
         self.assertEqual((effect.pair_count, effect.rules_broken), (1, ("FLOW",)))
+
+    def test_plays_with_all_on_show_what_is_chance(self):
+        """Each is paired with the others; the rest with their mean."""
+        variants = {ALL_ON: 0.90, f"{ALL_ON} 2": 0.92, "keeps_hints": 0.80}
+        records = [
+            Record(Play(name, "a", "x", 1), Outcome(worth, ()))
+            for name, worth in variants.items()
+        ]
+        off, chance = compare(records)
+        self.assertEqual((off.variant, chance.variant), ("keeps_hints", ALL_ON))
+        self.assertAlmostEqual(off.worth_ratio, 0.11)
+        self.assertEqual(chance.pair_count, 2)
+        self.assertAlmostEqual(chance.worth_ratio, 0.0)
+        self.assertAlmostEqual(chance.most_ratio, 0.02)
