--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -267,10 +267,12 @@
             link.complete = True
 
     def _on_greeting(self, link: HubLink) -> None:
-        """Ask a control instance that is there, unless one as good was asked."""
+        """Ask a control instance that is there, unless one as good tells already."""
         oldest_s = self._now_s() - _KNOCK_S
-        asked = [one for one in self.live() if one.polled_s > oldest_s]
-        if not asked or knows_more(link, asked):
+        telling = [
+            one for one in self.live() if one.complete or one.polled_s > oldest_s
+        ]
+        if not telling or knows_more(link, telling):
             self._send_poll(link, wants_reply=True)
 
     def _note_heard(self, link: HubLink, delta: Delta) -> None:
--- a/tests/registry/test_spreading.py
+++ b/tests/registry/test_spreading.py
@@ -269,6 +269,18 @@
         )
         self.assertLess(world.received_bytes, 1.5 * content_bytes)
 
+    def test_greeting_after_all_was_told_asks_for_nothing(self):
+        """The next poll is soon enough for what a second one knows."""
+        world = World(("a", "b"))
+        world.leaderless = set(world.hubs)
+        for number in range(2):
+            world.table(number).report(report())
+            world.hub(number).greet([KnownEntry(world.entry_address, "a")])
+        world.deliver()
+        self.assertIn("i-1", world.told())
+        polled_s = [link.polled_s for link in world.entry.links.values()]
+        self.assertEqual(polled_s, [float("-inf")] * 2)
+
     def test_greeting_takes_nothing_back(self):
         """One that is greeted again while it knows all goes on knowing it."""
         world = World(("a",))
