--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -11,7 +11,6 @@
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._flows import Flow, FlowLoads
-from agatethread.datapath._holding import LEARNING_S, HeldPackets
 from agatethread.datapath._packets import (
     Address,
     FlowKey,
@@ -33,8 +32,6 @@
 from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire.registry_pb2 import Sighting
 
-#: Packets that are held at a start: a second of three times the load of an instance.
-_HELD_LIMIT_COUNT = 1_000
 #: A pause in which this instance can't have run: its timers call it each 0.2 s.
 _PAUSE_S = 1.0
 
@@ -88,8 +85,6 @@
         self._policies = policies
         self._ticked_s = now_s()
         self._awake_since_s = now_s()
-        self._started_s = now_s()
-        self._held = HeldPackets(_HELD_LIMIT_COUNT)
         self.loads = FlowLoads(flow_limit_count)
         self.shared = SharedSilence(now_s)
         self.table: RouteTable = NO_ROUTES
@@ -127,8 +122,6 @@
         """
         packet = self._codec.decode(data)
         self.tick()
-        if self._held:
-            self._held.drop_copy(packet)
         if packet.opens:
             self._on_opening(packet)
         else:
@@ -138,7 +131,7 @@
 
     def _on_opening(self, packet: Packet) -> None:
         if not self.table.version:
-            self._hold_or_drop(packet, "no_table")
+            self._drop(packet, "no_table")
             return
         route = self.table.routes.get((packet.key.host, packet.key.port))
         if route is None:
@@ -160,7 +153,7 @@
             if self._knows_all():
                 self._reset(packet, "no_backend")
             else:
-                self._hold_or_drop(packet, "no_backend_known")
+                self._drop(packet, "no_backend_known")
             return
         self._log_placed(packet, backend, tried, now_s)
         backend.start_trial(now_s)
@@ -228,7 +221,7 @@
         elif outcome is OpenFlowOutcome.RESET:
             self._reset(packet, outcome.value)
         else:
-            self._hold_or_drop(packet, outcome.value)
+            self._drop(packet, outcome.value)
 
     def _ends_flow(self, packet: Packet, backend: Backend) -> bool:
         """Decide whether a request is better sent again on another flow.
@@ -306,63 +299,6 @@
         route = self.table.routes.get((packet.key.host, packet.key.port))
         return route is not None and backend.service in route.services
 
-    # -- packets held at the start --------------------------------------------------
-
-    def release_held(self) -> None:
-        """Decide about packets that were held, where that is possible now.
-
-        To be called each `RELEASE_INTERVAL_S`, and not before it is known which backend
-        servers there are: all that waits would go to the first few.
-        """
-        if not self._held:
-            return
-        ready, late = self._held.release(self._is_decidable, self._now_s())
-        if ready or late:
-            log.info(
-                Event.PACKETS_RELEASED,
-                count=len(ready),
-                late=len(late),
-                waiting=len(self._held),
-            )
-        for packet in late:
-            self._drop(packet, "held_too_long")
-        for packet in ready:
-            if packet.opens:
-                self._on_opening(packet)
-            else:
-                self._on_packet(packet)
-
-    def may_hold(self) -> bool:
-        """Tell whether packets are held, or may be at this start.
-
-        Returns
-        -------
-        bool
-            False for good once the first seconds are over and nothing waits.
-        """
-        is_new = self._now_s() - self._started_s < LEARNING_S
-        return is_new or bool(self._held)
-
-    def _is_decidable(self, packet: Packet) -> bool:
-        if not self.table.version:
-            return False
-        if not packet.opens:
-            return self._knows_all() or self._view.find(packet.label) is not None
-        route = self.table.routes.get((packet.key.host, packet.key.port))
-        services = () if route is None else route.targets
-        is_known = any(self._view.of_service(one.service) for one in services)
-        return route is None or is_known or self._knows_all()
-
-    def _hold_or_drop(self, packet: Packet, reason: str) -> None:
-        now_s = self._now_s()
-        is_learning = now_s - self._started_s < LEARNING_S and not self._knows_all()
-        if not (is_learning and self._policies.holds_packets):
-            self._drop(packet, reason)
-            return
-        self._counters[f"held_{reason}"] += 1
-        for given_up in self._held.hold(packet, now_s):
-            self._drop(given_up, "too_many_held")
-
     # -- outcomes -----------------------------------------------------------------
 
     def _forward(self, packet: Packet, backend: Backend) -> None:
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -8,7 +8,6 @@
 
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._forwarder import LabelForwarder
-from agatethread.datapath._holding import RELEASE_INTERVAL_S
 from agatethread.datapath._leaving import Departure
 from agatethread.datapath._pacing import PacedSender
 from agatethread.datapath._packets import PacketCodec
@@ -173,10 +172,6 @@
         self.timers.subscribe(_SUSPECT_INTERVAL_S, self._judge_suspects)
         self.timers.subscribe(_CHECK_INTERVAL_S, self._check_ready)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self._sweep)
-        if self._settings.policies.holds_packets:
-            self._stop_releasing = self.timers.subscribe(
-                RELEASE_INTERVAL_S, self._release_held
-            )
         self.subscription.poll()
         log.info(Event.ENTRY_STARTED, instance=self._settings.name)
 
@@ -232,12 +227,6 @@
         if sightings:
             self.subscription.tell(sightings)
 
-    def _release_held(self) -> None:
-        if self.subscription.has_whole_view():
-            self.forwarder.release_held()
-        if not self.forwarder.may_hold():
-            self._stop_releasing()
-
     def _sweep(self) -> None:
         self.forwarder.loads.sweep(self.timers.now_s())
 
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -15,7 +15,6 @@
     FLOW_PLACED = "flow placed"
     FLOW_RESET = "flow reset"
     PACKET_DROPPED = "packet dropped"
-    PACKETS_RELEASED = "held packets decided about"
     DATAGRAM_FAILED = "a datagram's handler failed"
 
     # Backend servers, as an entry instance holds them.
@@ -113,7 +112,6 @@
         ),
         Event.FLOW_RESET: frozenset({"why", "flow", "label", "table_version"}),
         Event.PACKET_DROPPED: frozenset({"why", "flow", "label", "table_version"}),
-        Event.PACKETS_RELEASED: frozenset({"count", "late", "waiting"}),
         Event.DATAGRAM_FAILED: frozenset(),
         Event.RUN_KNOWN: frozenset({"run", "started_ms", "service", "sequence"}),
         Event.RUN_REPORTING: frozenset({"run", "started_ms", "service", "sequence"}),
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -340,16 +340,6 @@
         """
         return any(link.settled and link.complete for link in self.live())
 
-    def has_whole_view(self) -> bool:
-        """Tell whether some control instance has told all that it knows.
-
-        Returns
-        -------
-        bool
-            True also if that one may not know every backend server yet.
-        """
-        return any(link.complete for link in self.live())
-
     def domain_view(self, since_s: float) -> DomainView | None:
         """Tell who else serves in this process's failure domain.
 
--- a/src/agatethread/settings/_policies.py
+++ b/src/agatethread/settings/_policies.py
@@ -58,9 +58,6 @@
     relearn_wait_s: float = _threshold(1.5, 0.0, 0.0, 60.0)
     #: Whether packets wait for the link's rate; else the link's own queue drops them.
     paces_packets: bool = _switch()
-    #: Whether a starting entry instance holds packets that it can't decide about yet;
-    #: else it drops them.
-    holds_packets: bool = _switch()
     #: Whether a control instance that starts greets the entry instances that it knew,
     #: so that they ask it at once; else they ask by themselves, each 0.1 s.
     greets_known_entries: bool = _switch()
--- a/src/agatethread/sockets/_datagrams.py
+++ b/src/agatethread/sockets/_datagrams.py
@@ -4,13 +4,13 @@
 import socket
 from collections.abc import Callable
 
-from agatethread.early_sockets import open_datagram_socket
 from agatethread.exceptions import DatagramError, SealError
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.settings import parse_address
 
 #: Datagrams read before other tasks get their turn.
 BATCH_COUNT = 64
+_BUFFER_BYTES = 4 << 20
 _READ_BYTES = 2_048
 
 Handler = Callable[[bytes, tuple[str, int]], None]
@@ -36,7 +36,12 @@
     OSError
         If the address can't be bound.
     """
-    return open_datagram_socket(parse_address(address))
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _BUFFER_BYTES)
+    opened.setblocking(False)
+    opened.bind(parse_address(address))
+    return opened
 
 
 def drain_into(
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -7,7 +7,7 @@
 
 #: Each may import from those above it only, so there is no circle.
 LAYERS = (
-    {"exceptions", "early_sockets", "timing"},
+    {"exceptions", "timing"},
     {"settings", "wire"},
     {"observability", "routing", "transfer"},
     {"membership", "rpc", "sockets"},
