--- /dev/null
+++ b/tests/registry/worlds.py
@@ -0,0 +1,130 @@
+"""Control and entry instances for the tests of the registry."""
+
+import random
+import zlib
+
+from agatethread.observability import Counters
+from agatethread.registry import (
+    RegistryHub,
+    RoutesOffer,
+    RunTable,
+    Subscription,
+    decode_message,
+)
+from agatethread.wire.registry_pb2 import RoutingTable, TableRoute
+from tests.fakes import Clock, address
+from tests.registry.test_runs import INTERVAL_S
+
+
+def compressed_table(version, routes=1):
+    """An offer of a table with some routes."""
+    table = RoutingTable(version=version, services=["tab"])
+    for number in range(routes):
+        table.routes.append(TableRoute(host=random.getrandbits(32), port=number + 1))
+    return RoutesOffer(version, zlib.compress(table.SerializeToString()))
+
+
+class World:
+    """One entry instance, some control instances, and a network that loses messages."""
+
+    def __init__(self, domains=("a", "b"), seed=1):
+        self.clock = Clock()
+        self.random = random.Random(seed)
+        self.loss = 0.0
+        self.cut = set()
+        self.leaderless = set()
+        self.sent_bytes = self.received_bytes = 0
+        self.queue = []
+        self.runs, self.tables = [], []
+        self.hubs, self.links = {}, {}
+        self.entry_address = address(99)
+        seeds = [address(number) for number in range(len(domains))]
+        for number, domain in enumerate(domains):
+            self.start_hub(number, domain, seeds)
+        self.entry = Subscription(
+            "a",
+            False,
+            seeds,
+            self.entry_address,
+            self.sender(self.entry_address),
+            self.clock,
+            self.runs.append,
+            self.tables.append,
+            Counters(),
+        )
+
+    def start_hub(self, number, domain, seeds):
+        """Start a control instance, empty."""
+        place = address(number)
+        table = RunTable(INTERVAL_S, self.clock)
+        hub = RegistryHub(
+            table,
+            domain,
+            self.sender(place),
+            self.clock,
+            lambda: True,
+            lambda: place not in self.leaderless,
+        )
+        link = Subscription(
+            domain,
+            True,
+            seeds,
+            place,
+            self.sender(place),
+            self.clock,
+            table.take,
+            lambda _: None,
+            Counters(),
+        )
+        self.hubs[place] = (table, hub)
+        self.links[place] = link
+
+    def sender(self, source):
+        def send(message, target):
+            data = message.SerializeToString()
+            self.sent_bytes += len(data)
+            lost = self.random.random() < self.loss
+            if not lost and not self.cut & {source, target}:
+                self.queue.append((data, source, target))
+
+        return send
+
+    def deliver(self):
+        """Deliver until nothing is under way."""
+        while self.queue:
+            data, source, target = self.queue.pop(0)
+            message = decode_message(data)
+            body = message.WhichOneof("body")
+            if target == self.entry_address:
+                self.received_bytes += len(data)
+                handler = (
+                    self.entry.on_delta if body == "delta" else self.entry.on_chunk
+                )
+                handler(getattr(message, body), source)
+            elif body == "poll":
+                self.hubs[target][1].on_poll(message.poll, source)
+            else:
+                self.links[target].on_delta(message.delta, source)
+
+    def step(self, count=1, step_s=0.1):
+        """Let time pass."""
+        for number in range(count):
+            self.clock.value_s += step_s
+            for table, hub in self.hubs.values():
+                table.sweep()
+                hub.flush()
+            if number % 4 == 0:
+                self.entry.poll()
+                for link in self.links.values():
+                    link.poll()
+            self.deliver()
+
+    def table(self, number):
+        return self.hubs[address(number)][0]
+
+    def hub(self, number):
+        return self.hubs[address(number)][1]
+
+    def told(self):
+        """What the entry instance was told last of each run."""
+        return {run.id: run for run in self.runs}
