--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -183,7 +183,10 @@
             subscriber = self._expected.pop(address, None) or Subscriber()
             self._subscribers[address] = subscriber
         is_same_run = poll.hub_incarnation == self._incarnation
-        subscriber.seen_index = poll.seen_index if is_same_run else 0
+        seen_index = poll.seen_index if is_same_run else 0
+        if seen_index > subscriber.seen_index:
+            subscriber.unseen_since_s = self._now_s()
+        subscriber.seen_index = seen_index
         subscriber.failure_domain = poll.failure_domain
         subscriber.is_control = poll.is_control
         subscriber.presence = poll.presence
@@ -224,7 +227,7 @@
 
     def _unsent_after(self, subscriber: Subscriber) -> int:
         """Find the index up to which a subscriber needs nothing at present."""
-        if self._now_s() - subscriber.sent_s < _RESEND_S:
+        if self._now_s() - subscriber.unseen_since_s < _RESEND_S:
             return max(subscriber.seen_index, subscriber.sent_index)
         return subscriber.seen_index
 
@@ -248,10 +251,15 @@
             return
         for message in messages:
             self._send(message, address)
-        through = messages[-1].delta.through_index
-        if through > messages[0].delta.after_index:
-            subscriber.sent_index = through
-            subscriber.sent_s = self._now_s()
+        after, through = messages[0].delta.after_index, messages[-1].delta.through_index
+        if through <= after:
+            return
+        if after <= subscriber.seen_index:
+            # All that it lacks is under way; what is sent on top of that does not put
+            # off the time when it is sent again, or one lost message would keep a
+            # subscriber that is told something ten times a second back for good.
+            subscriber.unseen_since_s = self._now_s()
+        subscriber.sent_index = through
 
     def _add_reply(self, delta: Delta) -> None:
         delta.controls.extend(self.controls())
--- a/src/agatethread/registry/_subscribers.py
+++ b/src/agatethread/registry/_subscribers.py
@@ -16,7 +16,7 @@
         "routes_version",
         "seen_index",
         "sent_index",
-        "sent_s",
+        "unseen_since_s",
         "without_routes",
     )
 
@@ -27,7 +27,8 @@
         self.heard_s = 0.0
         self.seen_index = 0
         self.sent_index = 0
-        self.sent_s = 0.0
+        #: Since when it has acknowledged nothing of what it was sent.
+        self.unseen_since_s = 0.0
         self.routes_version = 0
         self.routes_sent_s = 0.0
         self.routes_sent_version = 0
--- a/tests/registry/test_spreading.py
+++ b/tests/registry/test_spreading.py
@@ -178,3 +178,18 @@
         except DatagramError:
             return
         self.assertIsNotNone(message.WhichOneof("body"))
+
+    def test_lost_message_is_sent_again_while_others_follow(self):
+        """Reports come all the time; another control instance is never behind for long.
+
+        It was behind for good: 1,800 changes of 2,500 after 12 s with one loss in 100.
+        """
+        world = World(("a", "b"))
+        world.step(10)
+        for sequence in range(1, 60):
+            for number in range(1, 4):
+                world.table(0).report(report(number, sequence, number))
+            world.loss = 1.0 if sequence == 20 else 0.0
+            world.step()
+        known = world.table(1).find("i-1").sequence
+        self.assertGreaterEqual(known, 58)
