--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -10,6 +10,7 @@
 from agatethread.registry._runs import RunTable
 from agatethread.registry._sightings import SightingPool
 from agatethread.registry._subscribers import Subscriber
+from agatethread.registry._waiting import IndexWaiters
 from agatethread.wire.registry_pb2 import (
     PRESENCE_LEAVING,
     BackendRun,
@@ -79,7 +80,7 @@
         self._hears_leader = hears_leader
         self._incarnation = secrets.randbits(63) | 1
         self._subscribers: dict[bytes, Subscriber] = {}
-        self._waiting: list[tuple[int, asyncio.Future[None]]] = []
+        self._waiting = IndexWaiters()
         self._offer: RoutesOffer | None = None
         self._chunks: list[RegistryMessage] = []
         self._told_s = now_s()
@@ -360,8 +361,7 @@
         bool
             Whether all have acknowledged them.
         """
-        waiting = asyncio.get_running_loop().create_future()
-        self._waiting.append((self._runs.index, waiting))
+        waiting = self._waiting.add(self._runs.index)
         self.flush()
         try:
             await asyncio.wait_for(waiting, limit_s)
@@ -376,16 +376,7 @@
         seen = [
             s.seen_index for s in self._subscribers.values() if s.heard_s > oldest_s
         ]
-        acknowledged = min(seen, default=self._runs.index)
-        still_waiting = []
-        for index, waiting in self._waiting:
-            if waiting.done():
-                continue
-            if index <= acknowledged:
-                waiting.set_result(None)
-            else:
-                still_waiting.append((index, waiting))
-        self._waiting = still_waiting
+        self._waiting.settle(min(seen, default=self._runs.index))
 
     def dump(self) -> list[dict[str, object]]:
         """List the subscribers for a state dump.
