--- /dev/null
+++ b/src/agatethread/cli/_changes.py
@@ -0,0 +1,163 @@
+"""Operators' commands that change what the fleet does."""
+
+import argparse
+import uuid
+from pathlib import Path
+
+from agatethread.cli._calls import ControlTarget, apply_command, wait_in_force
+from agatethread.cli._results import EXIT_DONE, EXIT_REFUSED, print_result
+from agatethread.settings import parse_document
+from agatethread.wire.control_pb2 import Command, PutDocument, SetDrain, SetEvacuation
+
+
+async def apply_document(options: argparse.Namespace, target: ControlTarget) -> int:
+    """Put a service document in force.
+
+    Parameters
+    ----------
+    options : argparse.Namespace
+        The command line.
+    target : ControlTarget
+        The control instances.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    text = Path(options.file).read_text(encoding="utf-8")
+    document = parse_document(options.file, text)
+    change_id = options.change_id or str(uuid.uuid4())
+    put = PutDocument(
+        service=document.service, version=document.version, text=text.encode()
+    )
+    outcome = await apply_command(
+        target, Command(put_document=put, change_id=change_id)
+    )
+    data = {
+        "service": document.service,
+        "version": document.version,
+        "index": outcome.index,
+        "change_id": change_id,
+    }
+    print_result(
+        options, data, f"accepted {document.service} version {document.version}"
+    )
+    if options.wait_s:
+        return await wait_and_tell(options, target, outcome.index)
+    return EXIT_DONE
+
+
+async def drain_name(options: argparse.Namespace, target: ControlTarget) -> int:
+    """Give an instance or backend server no new work, or give it work again.
+
+    Parameters
+    ----------
+    options : argparse.Namespace
+        The command line.
+    target : ControlTarget
+        The control instances.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    change = SetDrain(name=options.name, draining=not options.undo)
+    command = Command(
+        set_drain=change, change_id=options.change_id or str(uuid.uuid4())
+    )
+    outcome = await apply_command(target, command)
+    word = "back in service" if options.undo else "draining"
+    data = {"name": options.name, "draining": not options.undo, "index": outcome.index}
+    print_result(options, data, f"{options.name} {word}")
+    if options.wait_s:
+        return await wait_and_tell(options, target, outcome.index)
+    return EXIT_DONE
+
+
+async def _set_evacuation(
+    options: argparse.Namespace, target: ControlTarget, evacuated: bool
+) -> int:
+    change = SetEvacuation(failure_domain=options.domain, evacuated=evacuated)
+    command = Command(
+        set_evacuation=change, change_id=options.change_id or str(uuid.uuid4())
+    )
+    outcome = await apply_command(target, command)
+    word = "evacuated" if evacuated else "back in service"
+    data = {
+        "failure_domain": options.domain,
+        "evacuated": evacuated,
+        "index": outcome.index,
+    }
+    print_result(options, data, f"{options.domain} {word}")
+    if options.wait_s:
+        return await wait_and_tell(options, target, outcome.index)
+    return EXIT_DONE
+
+
+async def evacuate_domain(options: argparse.Namespace, target: ControlTarget) -> int:
+    """Give a failure domain's backend servers no new work.
+
+    Parameters
+    ----------
+    options : argparse.Namespace
+        The command line.
+    target : ControlTarget
+        The control instances.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    return await _set_evacuation(options, target, evacuated=True)
+
+
+async def readmit_domain(options: argparse.Namespace, target: ControlTarget) -> int:
+    """Give a failure domain's backend servers work again.
+
+    Parameters
+    ----------
+    options : argparse.Namespace
+        The command line.
+    target : ControlTarget
+        The control instances.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    return await _set_evacuation(options, target, evacuated=False)
+
+
+async def wait_and_tell(
+    options: argparse.Namespace, target: ControlTarget, index: int
+) -> int:
+    """Wait until a change is in force, and tell who lags.
+
+    Parameters
+    ----------
+    options : argparse.Namespace
+        The command line.
+    target : ControlTarget
+        The control instances.
+    index : int
+        Log index of the change.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    elapsed_s, laggards = await wait_in_force(target, index, options.wait_s)
+    data = {"in_force_s": elapsed_s, "laggards": laggards}
+    if laggards:
+        lines = "\n".join(f"  {row['instance']}: {row['why']}" for row in laggards)
+        print_result(
+            options, data, f"not in force after {elapsed_s:.3f} s at:\n{lines}"
+        )
+        return EXIT_REFUSED
+    print_result(options, data, f"in force everywhere after {elapsed_s:.3f} s")
+    return EXIT_DONE
--- a/src/agatethread/cli/_ctl.py
+++ b/src/agatethread/cli/_ctl.py
@@ -5,22 +5,28 @@
 import contextlib
 import json
 import sys
-import uuid
 from collections.abc import Awaitable, Callable
 from datetime import datetime
 from pathlib import Path
 from typing import Any
 
 from agatethread import __version__
-from agatethread.cli._calls import (
-    ControlTarget,
-    apply_command,
-    dump_instance,
-    get_document,
-    wait_in_force,
-)
+from agatethread.cli._calls import ControlTarget, dump_instance, get_document
 from agatethread.cli._calls import all_statuses as read_statuses
+from agatethread.cli._changes import (
+    apply_document,
+    drain_name,
+    evacuate_domain,
+    readmit_domain,
+    wait_and_tell,
+)
 from agatethread.cli._policies import describe_policies, read_policies
+from agatethread.cli._results import (
+    EXIT_DONE,
+    EXIT_REFUSED,
+    EXIT_USAGE,
+    print_result,
+)
 from agatethread.cli._story import LogLine, explain, read_logs
 from agatethread.exceptions import (
     AgatethreadError,
@@ -34,52 +40,14 @@
     load_settings,
     parse_document,
 )
-from agatethread.wire.control_pb2 import Command, PutDocument, SetDrain, StatusReply
+from agatethread.wire.control_pb2 import StatusReply
 
-EXIT_DONE, EXIT_REFUSED, EXIT_USAGE = 0, 1, 2
 #: Commands that need no control instance.
 _LOCAL_COMMANDS = ("check", "explain", "policies")
 
 Handler = Callable[[argparse.Namespace, ControlTarget], Awaitable[int]]
 
 
-def _print(options: argparse.Namespace, data: dict, text: str) -> None:
-    print(json.dumps(data, indent=2) if options.json else text)
-
-
-async def _apply(options: argparse.Namespace, target: ControlTarget) -> int:
-    text = Path(options.file).read_text(encoding="utf-8")
-    document = parse_document(options.file, text)
-    change_id = options.change_id or str(uuid.uuid4())
-    put = PutDocument(
-        service=document.service, version=document.version, text=text.encode()
-    )
-    outcome = await apply_command(
-        target, Command(put_document=put, change_id=change_id)
-    )
-    data = {
-        "service": document.service,
-        "version": document.version,
-        "index": outcome.index,
-        "change_id": change_id,
-    }
-    _print(options, data, f"accepted {document.service} version {document.version}")
-    if options.wait_s:
-        return await _wait(options, target, outcome.index)
-    return EXIT_DONE
-
-
-async def _wait(options: argparse.Namespace, target: ControlTarget, index: int) -> int:
-    elapsed_s, laggards = await wait_in_force(target, index, options.wait_s)
-    data = {"in_force_s": elapsed_s, "laggards": laggards}
-    if laggards:
-        lines = "\n".join(f"  {row['instance']}: {row['why']}" for row in laggards)
-        _print(options, data, f"not in force after {elapsed_s:.3f} s at:\n{lines}")
-        return EXIT_REFUSED
-    _print(options, data, f"in force everywhere after {elapsed_s:.3f} s")
-    return EXIT_DONE
-
-
 async def _get(options: argparse.Namespace, target: ControlTarget) -> int:
     record = await get_document(target, options.service)
     data = {
@@ -89,7 +57,7 @@
         "change_id": record.change_id,
         "text": record.text.decode(),
     }
-    _print(options, data, record.text.decode())
+    print_result(options, data, record.text.decode())
     return EXIT_DONE
 
 
@@ -97,17 +65,19 @@
     statuses = await read_statuses(target)
     newest = max(status.last_change_index for status in statuses)
     if options.wait_s:
-        return await _wait(options, target, newest)
+        return await wait_and_tell(options, target, newest)
 
     control, entry = _control_rows(statuses), _entry_rows(statuses)
     services = sorted({name for status in statuses for name in status.services})
     drained = sorted({name for status in statuses for name in status.drained})
+    evacuated = sorted({name for status in statuses for name in status.evacuated})
     data = {
         "last_change_index": newest,
         "control": control,
         "entry": entry,
         "services": services,
         "drained": drained,
+        "evacuated": evacuated,
     }
     lines = [f"last change: {newest}"]
     lines += [f"control {row['instance']}: {row['role']}" for row in control]
@@ -116,8 +86,12 @@
         + ("" if row["connected"] else ", not connected")
         for row in entry
     ]
-    lines += [f"services: {', '.join(services)}", f"drained: {', '.join(drained)}"]
-    _print(options, data, "\n".join(lines))
+    lines += [
+        f"services: {', '.join(services)}",
+        f"drained: {', '.join(drained)}",
+        f"evacuated: {', '.join(evacuated)}",
+    ]
+    print_result(options, data, "\n".join(lines))
     return EXIT_DONE
 
 
@@ -149,20 +123,6 @@
     return list(rows.values())
 
 
-async def _drain(options: argparse.Namespace, target: ControlTarget) -> int:
-    change = SetDrain(name=options.name, draining=not options.undo)
-    command = Command(
-        set_drain=change, change_id=options.change_id or str(uuid.uuid4())
-    )
-    outcome = await apply_command(target, command)
-    word = "back in service" if options.undo else "draining"
-    data = {"name": options.name, "draining": not options.undo, "index": outcome.index}
-    _print(options, data, f"{options.name} {word}")
-    if options.wait_s:
-        return await _wait(options, target, outcome.index)
-    return EXIT_DONE
-
-
 async def _dump(options: argparse.Namespace, target: ControlTarget) -> int:
     print(json.dumps(await dump_instance(target, options.instance), indent=2))
     return EXIT_DONE
@@ -174,7 +134,9 @@
         parse_document(options.file, text)
     else:
         load_settings(options.file)
-    _print(options, {"file": options.file, "faults": []}, f"{options.file}: no faults")
+    print_result(
+        options, {"file": options.file, "faults": []}, f"{options.file}: no faults"
+    )
     return EXIT_DONE
 
 
@@ -193,14 +155,14 @@
         "left_out_lines": logs.left_out_count,
     }
     text = [_describe(line, line is story.deciding) for line in story.lines]
-    _print(options, data, "\n".join([*text, story.cause]))
+    print_result(options, data, "\n".join([*text, story.cause]))
     return EXIT_DONE if story.lines else EXIT_REFUSED
 
 
 async def _policies(options: argparse.Namespace, _: ControlTarget) -> int:
     rows = describe_policies(await read_policies(options.at, options.file))
     text = "\n".join(f"{row.name} = {row.value!r}  ({row.state})" for row in rows)
-    _print(options, {row.name: row.value for row in rows}, text)
+    print_result(options, {row.name: row.value for row in rows}, text)
     return EXIT_DONE
 
 
@@ -273,7 +235,7 @@
 
 def _add_commands(commands) -> None:
     apply = _add_command(
-        commands, "apply", _apply, "apply a service document", "apply tab.json5"
+        commands, "apply", apply_document, "apply a service document", "apply tab.json5"
     )
     apply.add_argument("file", metavar="FILE")
     get = _add_command(commands, "get", _get, "print a service document", "get tab")
@@ -284,12 +246,28 @@
     drain = _add_command(
         commands,
         "drain",
-        _drain,
+        drain_name,
         "give an instance or endpoint no new work",
         "drain tab-3",
     )
     drain.add_argument("name", metavar="INSTANCE|ENDPOINT")
     drain.add_argument("--undo", action="store_true", help="give it work again")
+    evacuate = _add_command(
+        commands,
+        "evacuate",
+        evacuate_domain,
+        "give a failure domain's backend servers no new work",
+        "evacuate hall-a --wait-s 5",
+    )
+    readmit = _add_command(
+        commands,
+        "readmit",
+        readmit_domain,
+        "give a failure domain's backend servers work again",
+        "readmit hall-a",
+    )
+    for command in (evacuate, readmit):
+        command.add_argument("domain", metavar="DOMAIN")
     dump = _add_command(
         commands, "dump", _dump, "print an instance's whole state", "dump entry-1"
     )
@@ -320,9 +298,9 @@
     source = policies.add_mutually_exclusive_group()
     source.add_argument("--at", default="", metavar="IP:PORT", help="metrics address")
     source.add_argument("--file", default="", metavar="FILE", help="file of policies")
-    for command in (apply, drain):
+    for command in (apply, drain, evacuate, readmit):
         command.add_argument("--change-id", default="", help="to send a change again")
-    for command in (apply, drain, status):
+    for command in (apply, drain, evacuate, readmit, status):
         command.add_argument(
             "--wait-s", type=float, default=0.0, help="wait until in force everywhere"
         )
--- a/src/agatethread/control/_instance.py
+++ b/src/agatethread/control/_instance.py
@@ -169,6 +169,7 @@
             last_change_index=node.documents.change_index,
             watchers=self.hub.statuses(),
             drained=sorted(node.documents.drained),
+            evacuated=node.documents.evacuations.failure_domains,
             services=sorted(node.documents.documents),
             log_bytes=self._storage.size_bytes,
         )
@@ -195,6 +196,7 @@
                 record.service: record.version for record in documents[:_MOST_ROWS]
             },
             "drained": sorted(node.documents.drained)[:_MOST_ROWS],
+            "evacuated": list(node.documents.evacuations.failure_domains),
             "watchers": [
                 {
                     "instance": watcher.instance,
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -16,16 +16,15 @@
 from agatethread.control._hints import HintKeeper
 from agatethread.control._log_opening import note_opened, open_log
 from agatethread.control._member_keeper import MemberKeeper
-from agatethread.control._members import find_member
+from agatethread.control._orders import OperatorOrders
 from agatethread.control._raft import RaftNode
 from agatethread.control._roles import Role
-from agatethread.control._routing_changes import agree_on_routes, read_agreed_routes
 from agatethread.control._routing_settings import RoutingControlSettings
 from agatethread.control._routing_state import dump_log, make_measures
 from agatethread.control._storage import LogStorage
-from agatethread.exceptions import UnavailableError
-from agatethread.observability import Counters, Event, Histogram, Measures, make_logger
+from agatethread.observability import Counters, Event, Measures, make_logger
 from agatethread.registry import (
+    EvacuationPublisher,
     Hints,
     RegistryHub,
     RegistryTransport,
@@ -35,7 +34,6 @@
     Subscription,
     load_hints,
 )
-from agatethread.routing import RoutingDocument, check_document
 from agatethread.settings import format_address, listen_address, parse_address
 from agatethread.timing import TimerService
 from agatethread.wire import pack_address, unpack_address
@@ -83,7 +81,6 @@
         self.timers = self.add_dependency(TimerService())
         self.node: RaftNode | None = None
         self._log_port: LogPort | None = None
-        self._change_s = Histogram()
         self._keeper: MemberKeeper | None = None
         self._hints: HintKeeper | None = None
         self._offered_version = 0
@@ -91,6 +88,13 @@
         self._registry_port = parse_address(settings.registry)[1]
         self._target_port = parse_address(settings.target)[1]
         self._build_registry()
+        self.orders = OperatorOrders(
+            lambda: self.node,
+            self._evacuations,
+            settings.policies.evacuation_wait_s,
+            self.timers.now_s,
+            counters,
+        )
 
     def _build_registry(self) -> None:
         settings, now_s = self.settings, self.timers.now_s
@@ -106,6 +110,9 @@
             self._is_settled,
             self._hears_leader,
         )
+        self._evacuations = EvacuationPublisher(
+            self.hub.entries_in_sight, self._transport.send, now_s
+        )
         self.subscription = Subscription(
             settings.failure_domain,
             True,
@@ -141,6 +148,7 @@
         if policies.asks_urgently:
             self.timers.subscribe(_URGENT_INTERVAL_S, self.subscription.knock_urgently)
         self.timers.subscribe(_FLUSH_INTERVAL_S, self.hub.flush)
+        self.timers.subscribe(_FLUSH_INTERVAL_S, self._evacuations.publish)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self.runs.sweep)
         self.timers.subscribe(_SIGHTINGS_INTERVAL_S, self.hub.tell_sightings)
         self._hints = HintKeeper(
@@ -222,75 +230,19 @@
 
     # -- the routing table --------------------------------------------------------
 
-    async def put_routes(self, document: RoutingDocument, source: bytes) -> None:
-        """Put a routing table in force, unless a higher version is.
-
-        Parameters
-        ----------
-        document : RoutingDocument
-            The table.
-        source : bytes
-            What it was read from, given back by `read_routes`.
-
-        Raises
-        ------
-        DocumentError
-            If it has faults.
-        NotLeaderError
-            If another instance has to be asked.
-        UnavailableError, DiskFullError
-            If it is not known to have been agreed; it may be asked for again.
-        """
-        check_document(document)
-        took_s = await agree_on_routes(
-            self._opened_node(), document, source, self.timers.now_s
-        )
-        if took_s is not None:
-            self.counters["changes_agreed"] += 1
-            self._change_s.record(took_s)
-
-    async def read_routes(self) -> bytes:
-        """Read the newest agreed routing table.
-
-        Returns
-        -------
-        bytes
-            The source it was put with; empty if there was none yet.
-
-        Raises
-        ------
-        NotLeaderError
-            If another instance has to be asked.
-        UnavailableError
-            If it is not sure that it is the newest.
-        """
-        return await read_agreed_routes(self._opened_node())
-
-    def _opened_node(self) -> RaftNode:
-        if self.node is None:
-            raise UnavailableError("the log is not open")
-        return self.node
-
-    def leader_api(self) -> str:
-        """Find where operators reach the leader.
-
-        Returns
-        -------
-        str
-            ``IP:port``, or an empty string if it is not known or is this instance.
-        """
-        if self.node is None or self.node.leader == self.node.name:
-            return ""
-        leader = find_member(self.node.members, self.node.leader)
-        return leader.api if leader else ""
-
     def _offer(self, node: RaftNode) -> None:
-        routes = node.documents.routes
-        if routes.version <= self._offered_version:
+        routes, evacuations = node.documents.routes, node.documents.evacuations
+        has_new = self._evacuations.offer(evacuations)
+        if routes.version <= self._offered_version and not has_new:
+            return
+        if not routes.version:
             return
         self._offered_version = routes.version
         self.runs.services = frozenset(RoutingTable.FromString(routes.table).services)
-        self.hub.offer_routes(RoutesOffer(routes.version, zlib.compress(routes.table)))
+        compressed = zlib.compress(routes.table)
+        self.hub.offer_routes(
+            RoutesOffer(routes.version, compressed, self._evacuations.newest)
+        )
 
     # -- backend servers ----------------------------------------------------------
 
@@ -373,7 +325,7 @@
             Read when somebody asks for metrics.
         """
         return make_measures(
-            self.counters, self.runs, self.hub, lambda: self.node, self._change_s
+            self.counters, self.runs, self.hub, lambda: self.node, self.orders.change_s
         )
 
     def dump(self) -> dict[str, Any]:
--- a/src/agatethread/control/_routing_state.py
+++ b/src/agatethread/control/_routing_state.py
@@ -80,6 +80,8 @@
         "commit_index": node.commit_index,
         "last_index": node.last_index,
         "routes_version": node.documents.routes.version,
+        "evacuations_version": node.documents.evacuations.version,
+        "evacuated": list(node.documents.evacuations.failure_domains),
         "members": [
             {
                 "name": member.name,
--- a/src/agatethread/control/_state.py
+++ b/src/agatethread/control/_state.py
@@ -16,11 +16,17 @@
     PutDocument,
     PutRoutes,
     SetDrain,
+    SetEvacuation,
 )
-from agatethread.wire.registry_pb2 import RoutingTable
+from agatethread.wire.registry_pb2 import Evacuations, RoutingTable
 
 #: Outcomes kept for resends; at 20,000 changes a day this is half a day.
 _OUTCOMES_KEPT = 10_000
+#: As long as a host name; reports of backend servers have the same limit.
+_LONGEST_NAME_BYTES = 255
+#: Far more failure domains than a fleet has (the size planned for has 7), so that an
+#: operator's script that runs wild can't fill the log's state.
+MOST_EVACUATED = 64
 
 
 class DocumentState:
@@ -29,6 +35,8 @@
     def __init__(self) -> None:
         self.documents: dict[str, DocumentRecord] = {}
         self.drained: set[str] = set()
+        #: Failure domains without new work; the version is the last change's index.
+        self.evacuations = Evacuations()
         #: The routing table, where the operator uses one in place of documents.
         self.routes = PutRoutes()
         #: Members of the log as of the last applied entry.
@@ -92,6 +100,8 @@
             return self._set_drain(index, command.set_drain)
         if command.WhichOneof("body") == "put_routes":
             return self._put_routes(index, command.put_routes)
+        if command.WhichOneof("body") == "set_evacuation":
+            return self._set_evacuation(index, command.set_evacuation)
         return self._put_document(index, command.put_document, command.change_id)
 
     def _set_drain(self, index: int, drain: SetDrain) -> Outcome:
@@ -101,6 +111,18 @@
             self.drained.discard(drain.name)
         return Outcome(accepted=True, index=index)
 
+    def _set_evacuation(self, index: int, change: SetEvacuation) -> Outcome:
+        domains = set(self.evacuations.failure_domains)
+        if change.evacuated == (change.failure_domain in domains):
+            return Outcome(accepted=True, index=index)
+        if change.evacuated and len(domains) >= MOST_EVACUATED:
+            error = f"{MOST_EVACUATED} failure domains are evacuated already"
+            return Outcome(accepted=False, error=error)
+
+        domains ^= {change.failure_domain}
+        self.evacuations = Evacuations(version=index, failure_domains=sorted(domains))
+        return Outcome(accepted=True, index=index)
+
     def _put_document(self, index: int, put: PutDocument, change_id: str) -> Outcome:
         current = self.documents.get(put.service)
         version = current.version if current else 0
@@ -156,6 +178,7 @@
             drained=sorted(self.drained),
             routes=self.routes,
             members=self.members,
+            evacuations=self.evacuations,
         )
 
     def restore(self, snapshot: ControlState) -> None:
@@ -175,11 +198,38 @@
         self.routes.CopyFrom(snapshot.routes)
         self.members = Members()
         self.members.CopyFrom(snapshot.members)
+        self.evacuations = Evacuations()
+        self.evacuations.CopyFrom(snapshot.evacuations)
         self._outcomes = OrderedDict(
             (record.change_id, record.outcome) for record in snapshot.outcomes
         )
 
 
+def find_name_fault(failure_domain: str) -> str:
+    """Check a name that an operator gives for a failure domain.
+
+    Whether such a domain exists is not checked: a control instance that has just
+    started has not heard of all, and an order must not be lost to that.
+
+    Parameters
+    ----------
+    failure_domain : str
+        The name.
+
+    Returns
+    -------
+    str
+        Why no failure domain can have it, or an empty string.
+    """
+    if not failure_domain:
+        return "a failure domain needs a name"
+    if not failure_domain.isprintable() or set(failure_domain) & set(" /"):
+        return "a failure domain's name holds no spaces, slashes or control characters"
+    if len(failure_domain.encode()) > _LONGEST_NAME_BYTES:
+        return f"a failure domain's name has at most {_LONGEST_NAME_BYTES} bytes"
+    return ""
+
+
 def check_command(command: Command) -> str:
     """Check a change before it is proposed, and add a document's compact form.
 
@@ -195,6 +245,8 @@
     """
     if not command.change_id:
         return "a change needs a change id"
+    if command.WhichOneof("body") == "set_evacuation":
+        return find_name_fault(command.set_evacuation.failure_domain)
     if command.WhichOneof("body") != "put_document":
         return "" if command.set_drain.name else "a drain needs a name"
 
--- a/src/agatethread/control/_watchers.py
+++ b/src/agatethread/control/_watchers.py
@@ -100,6 +100,7 @@
             complete=sent_index < 0,
             documents=[_compact(r) for r in records if r.index > sent_index],
             drained=sorted(self._state.drained),
+            evacuated=self._state.evacuations.failure_domains,
         )
 
     def _note(self, request: WatchRequest) -> WatcherStatus:
--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -70,6 +70,7 @@
         "earlier_labels",
         "ended",
         "ended_s",
+        "evacuated",
         "failure_domain",
         "failures",
         "flows",
@@ -112,6 +113,8 @@
         self.draining = False
         self.ended = False
         self.ended_s = 0.0
+        #: Whether operators have its failure domain evacuated.
+        self.evacuated = False
         #: Whether control instances hold it for alive.
         self.reporting = True
         #: When they stopped to.
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -42,6 +42,7 @@
         self._by_id: dict[str, Backend] = {}
         self._by_label: dict[int, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
+        self._evacuated: frozenset[str] = frozenset()
         #: Runs whose end was learned since somebody asked last.
         self._newly_ended: list[Backend] = []
 
@@ -114,6 +115,21 @@
             self._end(backend)
             self._newly_ended.append(backend)
 
+    def take_evacuations(self, failure_domains: frozenset[str]) -> None:
+        """Take the failure domains whose runs get no new flows.
+
+        Open flows go on to their end: their callers would lose what is under way.
+
+        Parameters
+        ----------
+        failure_domains : frozenset of str
+            All of them.
+        """
+        log.info(Event.EVACUATIONS_IN_FORCE, domains=sorted(failure_domains))
+        self._evacuated = failure_domains
+        for backend in self._by_id.values():
+            backend.evacuated = backend.failure_domain in failure_domains
+
     def take_newly_ended(self) -> list[Backend]:
         """Hand out the runs whose end was learned since the last call.
 
@@ -128,6 +144,7 @@
 
     def _add(self, run: BackendRun) -> Backend:
         backend = Backend(run, self._policies)
+        backend.evacuated = backend.failure_domain in self._evacuated
         self._by_id[run.id] = backend
         holder = self._by_label.get(backend.label)
         if holder is not None and not holder.ended:
@@ -225,6 +242,7 @@
                 "started_ms": backend.started_ms,
                 "service": backend.service,
                 "draining": backend.draining,
+                "evacuated": backend.evacuated,
                 "ended": backend.ended,
                 "reporting": backend.reporting,
                 "flows": backend.flows,
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -13,7 +13,7 @@
 from agatethread.datapath._packets import PacketCodec
 from agatethread.datapath._readiness import Readiness
 from agatethread.observability import Counters, Event, Measures, make_logger
-from agatethread.registry import RegistryTransport, Subscription
+from agatethread.registry import KnownEvacuations, RegistryTransport, Subscription
 from agatethread.routing import decode_table
 from agatethread.settings import (
     DEFAULT_POLICIES,
@@ -153,6 +153,7 @@
             self.view.take,
             self._on_routes,
             counters,
+            KnownEvacuations(self.view.take_evacuations),
         )
         self.subscription.presence = PRESENCE_AWAY
         self._heard_control_s = 0.0
@@ -209,6 +210,8 @@
             self.subscription.on_delta(message.delta, source)
         elif body == "routes":
             self.subscription.on_chunk(message.routes, source)
+        elif body == "evacuations":
+            self.subscription.on_evacuations(message.evacuations, source)
         elif body == "sightings":
             self.forwarder.shared.take(message.sightings)
 
--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -54,11 +54,21 @@
     Returns
     -------
     bool
-        Whether it reports, is not leaving, and its label is its own.
+        Whether it reports, is not asked to be left alone, and its label is its own.
     """
-    if backend.draining or backend.ended or backend.shares_label:
-        return False
-    return backend.reporting
+    return backend.reporting and not _is_closed(backend)
+
+
+def _is_closed(backend: Backend) -> bool:
+    """Tell whether a run gets no new flow whoever is left.
+
+    An evacuated failure domain stays empty also where nobody else is in sight: what
+    operators do there, as taking its power away, would cost callers more than a
+    refusal at once.
+    """
+    if backend.draining or backend.evacuated:
+        return True
+    return backend.ended or backend.shares_label
 
 
 def may_be_alive(
@@ -83,7 +93,7 @@
     bool
         Whether it fell silent not long ago and had not said that it leaves.
     """
-    if backend.draining or backend.ended or backend.shares_label:
+    if _is_closed(backend):
         return False
     return now_s - backend.silent_since_s < policies.out_of_sight_s
 
--- a/src/agatethread/entry/_documents.py
+++ b/src/agatethread/entry/_documents.py
@@ -1,4 +1,4 @@
-"""Service documents and drains as this instance has them; they never go back."""
+"""Documents, drains and evacuations as this instance has them; they never go back."""
 
 import asyncio
 import random
@@ -31,6 +31,7 @@
         self.index = 0
         self.documents: dict[str, ServiceDocument] = {}
         self.drained: frozenset[str] = frozenset()
+        self.evacuated: frozenset[str] = frozenset()
         self._indexes: dict[str, int] = {}
 
     def take(self, update: WatchUpdate) -> bool:
@@ -52,9 +53,27 @@
         for record in update.documents:
             self._take_document(record)
         self.drained = frozenset(update.drained)
+        self.evacuated = frozenset(update.evacuated)
         self.index = update.index
         return True
 
+    def takes_no_work(self, endpoint_id: str, failure_domain: str) -> bool:
+        """Tell whether operators want a backend server to get no new work.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Its id.
+        failure_domain : str
+            Where it runs.
+
+        Returns
+        -------
+        bool
+            Whether it is drained or its failure domain is evacuated.
+        """
+        return endpoint_id in self.drained or failure_domain in self.evacuated
+
     def _take_document(self, record: DocumentRecord) -> None:
         if record.index <= self._indexes.get(record.service, 0):
             return
--- a/src/agatethread/entry/_instance.py
+++ b/src/agatethread/entry/_instance.py
@@ -277,10 +277,12 @@
     # -- changes ------------------------------------------------------------------
 
     def _on_endpoint_changed(self, endpoint: Endpoint) -> None:
-        endpoint.drained = endpoint.announcement.endpoint_id in self.book.drained
+        domain = endpoint.announcement.failure_domain
+        endpoint.drained = self.book.takes_no_work(
+            endpoint.announcement.endpoint_id, domain
+        )
         document = self.book.documents.get(endpoint.service)
         if document is not None:
-            domain = endpoint.announcement.failure_domain
             endpoint.weight = document.domain_weights.get(domain, 1.0)
         self.forwarder.forget_routes()
         self.requests.pump(endpoint.service)
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -37,6 +37,7 @@
 
     # What an instance knows and whether it serves.
     TABLE_IN_FORCE = "routing table in force"
+    EVACUATIONS_IN_FORCE = "evacuations in force"
     READY = "ready"
     NOT_READY = "not ready"
     CONTROL_IN_SIGHT = "control instance in sight"
@@ -45,6 +46,7 @@
     # Configurations.
     CHANGE_AGREED = "change agreed"
     CHANGE_OVERTAKEN = "change overtaken"
+    EVACUATION_AGREED = "evacuation agreed"
     CALL_REFUSED = "call refused"
     CALL_NOT_ANSWERED = "call not answered"
 
@@ -147,6 +149,7 @@
         ),
         Event.NOT_SPREAD: frozenset({"what", "run"}),
         Event.TABLE_IN_FORCE: frozenset({"version", "version_before", "routes"}),
+        Event.EVACUATIONS_IN_FORCE: frozenset({"domains"}),
         Event.READY: frozenset({"version", "backends", "controls"}),
         Event.NOT_READY: frozenset({"version", "backends", "controls"}),
         Event.CONTROL_IN_SIGHT: frozenset({"address", "failure_domain", "settled"}),
@@ -157,6 +160,18 @@
             {"version", "version_before", "index", "term", "took_s"}
         ),
         Event.CHANGE_OVERTAKEN: frozenset({"version", "version_held"}),
+        Event.EVACUATION_AGREED: frozenset(
+            {
+                "domain",
+                "evacuated",
+                "version",
+                "index",
+                "term",
+                "took_s",
+                "told_s",
+                "told_everywhere",
+            }
+        ),
         Event.CALL_REFUSED: frozenset({"path", "faults", "why"}),
         Event.CALL_NOT_ANSWERED: frozenset({"path", "why"}),
         Event.LEADER: frozenset({"term", "last_index"}),
--- a/src/agatethread/registry/__init__.py
+++ b/src/agatethread/registry/__init__.py
@@ -1,5 +1,6 @@
 """Backend servers as they report themselves, told to every entry instance."""
 
+from agatethread.registry._evacuations import EvacuationPublisher, KnownEvacuations
 from agatethread.registry._hub import RegistryHub, RoutesOffer
 from agatethread.registry._link import HubLink
 from agatethread.registry._memory import Hints, KnownEntry, load_hints, save_hints
@@ -13,9 +14,11 @@
 __all__ = [
     "START_NOT_TOLD",
     "DomainView",
+    "EvacuationPublisher",
     "Hints",
     "HubLink",
     "KnownEntry",
+    "KnownEvacuations",
     "RegistryHub",
     "RegistryTransport",
     "Report",
--- a/src/agatethread/registry/_chunks.py
+++ b/src/agatethread/registry/_chunks.py
@@ -1,9 +1,14 @@
 """A routing table in parts, which arrive in any order and more than once."""
 
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from agatethread.wire.registry_pb2 import RegistryMessage, RoutesChunk, RoutingTable
+from agatethread.wire.registry_pb2 import (
+    Evacuations,
+    RegistryMessage,
+    RoutesChunk,
+    RoutingTable,
+)
 
 #: Payload of one message, so that its datagram fits an Ethernet frame.
 MESSAGE_BYTES = 1_100
@@ -15,6 +20,8 @@
 
     version: int
     compressed: bytes
+    #: What the log held besides when it held this table.
+    evacuations: Evacuations = field(default_factory=Evacuations)
 
 
 def split_routes(offer: RoutesOffer) -> list[RegistryMessage]:
@@ -35,7 +42,13 @@
         for start in range(0, len(offer.compressed), MESSAGE_BYTES)
     ]
     chunks = [
-        RoutesChunk(version=offer.version, number=number, count=len(parts), data=part)
+        RoutesChunk(
+            version=offer.version,
+            number=number,
+            count=len(parts),
+            data=part,
+            evacuations=offer.evacuations,
+        )
         for number, part in enumerate(parts)
     ]
     return [RegistryMessage(routes=chunk) for chunk in chunks]
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -2,19 +2,18 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from agatethread.registry._chunks import MESSAGE_BYTES, RoutesOffer, split_routes
 from agatethread.registry._memory import KnownEntry
 from agatethread.registry._presence import count_domain
 from agatethread.registry._runs import RunTable
 from agatethread.registry._sightings import SightingPool
-from agatethread.registry._subscribers import Subscriber
+from agatethread.registry._subscribers import Subscriber, describe, list_controls
 from agatethread.registry._waiting import IndexWaiters
 from agatethread.wire.registry_pb2 import (
     PRESENCE_LEAVING,
     BackendRun,
-    ControlNode,
     Delta,
     Poll,
     RegistryMessage,
@@ -104,20 +103,6 @@
             for address, subscriber in self._expected.items():
                 self._send_routes(subscriber, address)
 
-    def controls(self) -> list[ControlNode]:
-        """List the control instances that were heard lately.
-
-        Returns
-        -------
-        list of ControlNode
-            Without this one.
-        """
-        return [
-            ControlNode(address=address, failure_domain=subscriber.failure_domain)
-            for address, subscriber in self._subscribers.items()
-            if subscriber.is_control
-        ]
-
     def entries(self) -> tuple[KnownEntry, ...]:
         """List the entry instances that were heard lately.
 
@@ -193,6 +178,7 @@
         subscriber.presence = poll.presence
         subscriber.routes_version = poll.routes_version
         subscriber.without_routes = poll.without_routes
+        subscriber.evacuations_version = poll.evacuations_version
         subscriber.heard_s = self._now_s()
         if poll.wants_reply:
             self._reply(subscriber, address)
@@ -263,7 +249,7 @@
         subscriber.sent_index = through
 
     def _add_reply(self, delta: Delta) -> None:
-        delta.controls.extend(self.controls())
+        delta.controls.extend(list_controls(self._subscribers))
         delta.hub.hears_leader = self._hears_leader()
         delta.hub.routes_version = self._offer.version if self._offer else 0
 
@@ -317,6 +303,19 @@
         for chunk in self._chunks:
             self._send(chunk, address)
 
+    def entries_in_sight(self) -> Iterator[tuple[bytes, Subscriber]]:
+        """List the entry instances that are told of changes.
+
+        Yields
+        ------
+        tuple of (bytes, Subscriber)
+            Packed address, and what it has.
+        """
+        oldest_s = self._now_s() - _SUBSCRIBER_LEASE_S
+        for address, subscriber in self._subscribers.items():
+            if subscriber.heard_s >= oldest_s and not subscriber.is_control:
+                yield address, subscriber
+
     # -- sightings ----------------------------------------------------------------
 
     def on_sightings(self, sightings: Sightings, address: bytes) -> None:
@@ -341,10 +340,8 @@
         if not digest.runs:
             return
         message = RegistryMessage(sightings=digest)
-        for address, subscriber in self._subscribers.items():
-            is_live = now_s - subscriber.heard_s <= _SUBSCRIBER_LEASE_S
-            if is_live and not subscriber.is_control:
-                self._send(message, address)
+        for address, _ in self.entries_in_sight():
+            self._send(message, address)
 
     # -- waiting ------------------------------------------------------------------
 
@@ -388,12 +385,6 @@
         """
         now_s = self._now_s()
         return [
-            {
-                "address": address.hex(),
-                "is_control": subscriber.is_control,
-                "seen_index": subscriber.seen_index,
-                "routes_version": subscriber.routes_version,
-                "heard_ago_s": round(now_s - subscriber.heard_s, 3),
-            }
+            describe(address, subscriber, now_s)
             for address, subscriber in self._subscribers.items()
         ]
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -9,6 +9,7 @@
 
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.registry._chunks import ChunkedTable
+from agatethread.registry._evacuations import KnownEvacuations
 from agatethread.registry._following import (
     FOLLOWED_COUNT,
     choose_followed,
@@ -23,6 +24,7 @@
     PRESENCE_UNKNOWN,
     BackendRun,
     Delta,
+    Evacuations,
     HubState,
     Poll,
     Presence,
@@ -69,6 +71,8 @@
         Called with each newer routing table.
     counters : Counters
         Counts what arrives.
+    evacuations : KnownEvacuations, optional
+        What is known of them; a control instance has them from the log.
     """
 
     def __init__(
@@ -82,6 +86,7 @@
         on_run: Callable[[BackendRun], None],
         on_routes: Callable[[RoutingTable], None],
         counters: Counters,
+        evacuations: KnownEvacuations | None = None,
     ):
         self._failure_domain = failure_domain
         self._is_control = is_control
@@ -91,6 +96,7 @@
         self._on_run = on_run
         self._on_routes = on_routes
         self._counters = counters
+        self._evacuations = evacuations or KnownEvacuations()
         self._arriving = ChunkedTable()
         #: What polls say of this process, where it is an entry instance.
         self.presence: Presence = PRESENCE_UNKNOWN
@@ -215,6 +221,7 @@
             presence=self.presence,
             probe=probe,
             without_routes=teller is not None and teller is not link,
+            evacuations_version=self._evacuations.version,
         )
         self._send(RegistryMessage(poll=poll), link.address)
 
@@ -318,6 +325,8 @@
         link = self.links.get(source)
         if link is None or chunk.version <= self.routes_version:
             return
+        # Before the table can be whole: nothing is placed without knowing them.
+        self._evacuations.take(chunk.evacuations)
         if not 0 <= chunk.number < chunk.count:
             self._counters["registry_unreadable"] += 1
             return
@@ -328,6 +337,22 @@
         self._on_routes(table)
         self._send_poll(link, wants_reply=False)
 
+    def on_evacuations(self, evacuations: Evacuations, source: bytes) -> None:
+        """Take the evacuated failure domains, and acknowledge them.
+
+        Parameters
+        ----------
+        evacuations : Evacuations
+            All of them.
+        source : bytes
+            Packed address of the sender.
+        """
+        link = self.links.get(source)
+        if link is None:
+            return
+        self._evacuations.take(evacuations)
+        self._send_poll(link, wants_reply=False)
+
     # -- what is known ------------------------------------------------------------
 
     def is_complete(self) -> bool:
--- a/src/agatethread/settings/_policies.py
+++ b/src/agatethread/settings/_policies.py
@@ -48,6 +48,10 @@
     #: Whether a run that usually answers fast is held for gone sooner; else after the
     #: same silence as any other.
     judges_by_answer_time: bool = _switch()
+    #: Longest wait of an evacuation's acknowledgement for the entry instances in sight
+    #: to know of it; 0: it is given as soon as the log holds the order. Operators wait
+    #: for a second for an answer, and agreeing takes some 10 ms.
+    evacuation_wait_s: float = _threshold(0.4, 0.0, 0.0, 0.8)
     #: Longest wait of a stopping entry instance for those of its failure domain that
     #: restart at the moment; 0: it goes at once. An instance has to be out of the
     #: routers' choice 4 s after it was told to stop, they need a second to notice, and
--- a/tests/control/test_routing_control.py
+++ b/tests/control/test_routing_control.py
@@ -10,6 +10,7 @@
 from agatethread.exceptions import (
     AgatethreadError,
     DocumentError,
+    FieldError,
     NotLeaderError,
     UnavailableError,
 )
@@ -95,7 +96,9 @@
         for _ in range(100):
             for control in list(self.running.values()):
                 try:
-                    await control.put_routes(changed, str(changed.version).encode())
+                    await control.orders.put_routes(
+                        changed, str(changed.version).encode()
+                    )
                     return
                 except (NotLeaderError, UnavailableError):
                     continue
@@ -107,12 +110,32 @@
         for _ in range(100):
             for control in list(self.running.values()):
                 try:
-                    return await control.read_routes()
+                    return await control.orders.read_routes()
                 except AgatethreadError:
                     continue
             await asyncio.sleep(0.05)
         raise AssertionError("nobody was sure")
 
+    async def evacuate(self, domain, evacuated=True):
+        """Send an order to all in turn until one acknowledges it."""
+        for _ in range(200):
+            for control in list(self.running.values()):
+                try:
+                    await control.orders.set_evacuation(domain, evacuated)
+                    return
+                except (NotLeaderError, UnavailableError):
+                    continue
+            await asyncio.sleep(0.05)
+        raise AssertionError("nobody took the order")
+
+    def evacuated(self):
+        """Evacuated domains as each running instance would publish them."""
+        return [
+            set(one.node.documents.evacuations.failure_domains)
+            for one in self.running.values()
+            if one.node is not None
+        ]
+
     def voters(self):
         """Voters as all of the running instances know them; None while they differ."""
         views = {
@@ -145,7 +168,7 @@
         await fleet.put(document(7, timeout_ms=9))
         self.assertEqual(await fleet.read(), b"7")
         with self.assertRaises(DocumentError):
-            await fleet.running[0].put_routes(document(9, timeout_ms=0), b"9")
+            await fleet.running[0].orders.put_routes(document(9, timeout_ms=0), b"9")
         self.assertEqual(await fleet.read(), b"7")
 
     async def test_lost_disk_comes_back_as_a_voter_and_nothing_is_lost(self):
@@ -222,6 +245,43 @@
         self.assertEqual(await fleet.read(), b"3")
         self.assertIsNotNone(fleet.running[1].runs.find("i-1"))
 
+    async def test_evacuation_survives_the_loss_of_all_and_of_disks(self):
+        """What was acknowledged is held after each loss that is to be borne."""
+        fleet = await self.start_fleet()
+        await fleet.put(document(1))
+        await fleet.evacuate("hall-a")
+        leader = next(
+            number
+            for number, one in fleet.running.items()
+            if not one.orders.leader_api()
+        )
+        await fleet.kill(leader)
+        fleet.lose_disk(leader)
+        await fleet.start(leader)
+        await fleet.until(lambda: fleet.evacuated() == [{"hall-a"}] * 3)
+        for number in range(3):
+            await fleet.kill(number)
+        for number in range(3):
+            await fleet.start(number)
+        await fleet.until(lambda: fleet.evacuated() == [{"hall-a"}] * 3)
+        await fleet.evacuate("hall-a")
+        await fleet.evacuate("hall-a", evacuated=False)
+        await fleet.until(lambda: fleet.evacuated() == [set()] * 3)
+
+    async def test_late_order_is_in_force_at_its_place_in_the_log(self):
+        """An order sent again after it was overtaken counts as a new one."""
+        fleet = await self.start_fleet(1)
+        await fleet.evacuate("hall-a")
+        await fleet.evacuate("hall-a", evacuated=False)
+        await fleet.evacuate("hall-a")
+        self.assertEqual(fleet.evacuated(), [{"hall-a"}])
+
+    async def test_name_that_no_domain_can_have_is_refused(self):
+        """It never reaches the log."""
+        fleet = await self.start_fleet(1)
+        with self.assertRaises(FieldError):
+            await fleet.running[0].orders.set_evacuation("", True)
+
     async def test_minority_is_never_sure(self):
         """An instance without the others refuses reads and changes."""
         fleet = await self.start_fleet()
@@ -229,6 +289,8 @@
         await fleet.kill(0)
         await fleet.kill(1)
         with self.assertRaises((NotLeaderError, UnavailableError)):
-            await fleet.running[2].read_routes()
+            await fleet.running[2].orders.read_routes()
+        with self.assertRaises((NotLeaderError, UnavailableError)):
+            await fleet.running[2].orders.put_routes(document(2), b"2")
         with self.assertRaises((NotLeaderError, UnavailableError)):
-            await fleet.running[2].put_routes(document(2), b"2")
+            await fleet.running[2].orders.set_evacuation("hall-a", True)
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -1,8 +1,18 @@
 import unittest
 
 from agatethread.control import DocumentState
-from agatethread.control._state import check_command
-from agatethread.wire.control_pb2 import Command, PutDocument, SetDrain
+from agatethread.control._state import (
+    MOST_EVACUATED,
+    check_command,
+    find_name_fault,
+)
+from agatethread.wire.control_pb2 import (
+    Command,
+    ControlState,
+    PutDocument,
+    SetDrain,
+    SetEvacuation,
+)
 
 
 def put(version, change_id, note=""):
@@ -11,6 +21,11 @@
     return Command(put_document=document, change_id=change_id)
 
 
+def evacuate(domain, evacuated=True):
+    change = SetEvacuation(failure_domain=domain, evacuated=evacuated)
+    return Command(set_evacuation=change)
+
+
 class TestDocumentState(unittest.TestCase):
     def setUp(self):
         self.state = DocumentState()
@@ -58,7 +73,73 @@
         self.assertEqual(self.state.documents["tab"].text, text)
 
 
+class TestEvacuations(unittest.TestCase):
+    def setUp(self):
+        self.state = DocumentState()
+
+    def order(self, domain, evacuated=True):
+        index = self.state.last_index + 1
+        command = evacuate(domain, evacuated)
+        outcome = self.state.apply(index, 1, command.SerializeToString())
+        return outcome.accepted
+
+    def known(self):
+        found = self.state.evacuations
+        return found.version, list(found.failure_domains)
+
+    def test_order_is_idempotent(self):
+        """An order sent again is accepted and makes no new version."""
+        for domain in ("b", "a", "b"):
+            self.assertTrue(self.order(domain))
+        self.assertEqual(self.known(), (2, ["a", "b"]))
+        self.assertTrue(self.order("b", evacuated=False))
+        self.assertTrue(self.order("b", evacuated=False))
+        self.assertTrue(self.order("never-heard-of", evacuated=False))
+        self.assertEqual(self.known(), (4, ["a"]))
+
+    def test_snapshot_holds_them(self):
+        """After a restore the domain is evacuated, and under the same version."""
+        self.order("a")
+        restored = DocumentState()
+        restored.restore(self.state.snapshot())
+        self.state = restored
+        self.assertEqual(self.known(), (1, ["a"]))
+        self.assertTrue(self.order("a", evacuated=False))
+        self.assertEqual(self.known(), (2, []))
+
+    def test_number_is_bounded(self):
+        """Beyond the bound an order is refused, until a domain is readmitted."""
+        for number in range(MOST_EVACUATED):
+            self.assertTrue(self.order(f"domain-{number}"))
+        self.assertFalse(self.order("one-more"))
+        self.assertTrue(self.order("domain-3"))
+        self.assertTrue(self.order("domain-3", evacuated=False))
+        self.assertTrue(self.order("one-more"))
+
+    def test_snapshot_of_the_version_before_is_read(self):
+        """One written without evacuations has none, and the rest is there."""
+        # Written by the sources before evacuations were known.
+        written = bytes.fromhex(
+            "08021001220a0a0264311204080110022a057461622d3130023a0508071201734200"
+        )
+        state = DocumentState()
+        state.restore(ControlState.FromString(written))
+        self.assertEqual((state.last_index, state.drained), (2, {"tab-1"}))
+        self.assertEqual(state.routes.version, 7)
+        self.assertEqual(len(state.evacuations.failure_domains), 0)
+
+
 class TestCheckCommand(unittest.TestCase):
+    def test_name_of_a_failure_domain(self):
+        """Any name that one can have is taken, whether or not one has it."""
+        for name in ("hall-a", "køge", "x" * 255):
+            self.assertEqual(find_name_fault(name), "")
+        for name in ("", "hall a", "a/b", "a\n", "x" * 256, "\x00"):
+            self.assertNotEqual(find_name_fault(name), "", name)
+        command = evacuate("")
+        command.change_id = "x"
+        self.assertIn("name", check_command(command))
+
     def test_faults_are_found_before_the_log(self):
         """A change without id, with bad text or another name is refused."""
         self.assertEqual(check_command(put(1, "x")), "")
--- a/tests/platform/test_roles.py
+++ b/tests/platform/test_roles.py
@@ -115,6 +115,27 @@
         _, found, _ = await self.call_until(200, "GET", "/api/config")
         self.assertEqual(json.loads(found)["version"], 7)
 
+    async def test_failure_domain_is_evacuated_and_readmitted(self):
+        """Both orders are idempotent, and need no server there nor a configuration."""
+        for method, evacuated in (("POST", ["hall-b"]), ("DELETE", [])):
+            for _ in range(2):
+                await self.call_until(200, method, "/api/evacuation/hall%2Db")
+                known = self.control.instance.node.documents.evacuations
+                self.assertEqual(list(known.failure_domains), evacuated)
+
+    async def test_bad_evacuation_orders_are_refused(self):
+        """Only what can never succeed ends an operator's call at once."""
+        await self.call_until(200, "POST", "/api/evacuation/hall-0")
+        for path in ("", "a/b", "%20", "%ff", "x" * 300):
+            answer = await self.call("POST", f"/api/evacuation/{path}")
+            self.assertEqual(answer[0], 400, path)
+            self.assertIn("error", json.loads(answer[1]))
+        self.assertEqual((await self.call("PUT", "/api/evacuation/a"))[0], 404)
+        for number in range(1, 64):
+            status, _, _ = await self.call("POST", f"/api/evacuation/hall-{number}")
+            self.assertEqual(status, 200)
+        self.assertEqual((await self.call("POST", "/api/evacuation/more"))[0], 429)
+
     async def report(self, run_id="i-7f", **fields):
         """Send a status report; return its status."""
         body = json.dumps(REPORT | fields).encode()
--- /dev/null
+++ b/tests/registry/test_evacuations.py
@@ -0,0 +1,159 @@
+import unittest
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from agatethread.registry import KnownEntry
+from tests.fakes import address
+from tests.registry.worlds import World, compressed_table
+
+
+class TestEvacuations(unittest.TestCase):
+    """What entry instances know of evacuated failure domains, and when."""
+
+    def test_change_is_known_within_one_round(self):
+        """An evacuation and its end each reach the entry instance in 0.1 s."""
+        world = World()
+        world.step(5)
+        world.evacuate(7, "b")
+        world.deliver()
+        self.assertEqual(world.evacuated, [{"b"}])
+        world.evacuate(8)
+        world.deliver()
+        self.assertEqual(world.evacuated[-1], set())
+
+    def test_older_news_change_nothing(self):
+        """A control instance that missed the order takes nothing back."""
+        world = World()
+        world.step(5)
+        world.evacuate(7, "b", numbers=[0])
+        world.evacuate(5, numbers=[1])
+        world.step(20)
+        self.assertEqual(world.evacuated, [{"b"}])
+
+    def test_change_gets_through_losses(self):
+        """With half of all messages lost it is known in the seconds that count."""
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                world = World(seed=seed)
+                world.step(5)
+                world.loss = 0.5
+                world.evacuate(7, "b")
+                world.step(20)
+                self.assertEqual(world.evacuated, [{"b"}])
+
+    def test_instance_back_from_a_cut_knows_within_two_rounds(self):
+        """What happened during a cut is told with the first answer after it."""
+        world = World()
+        world.step(5)
+        world.cut = {world.entry_address}
+        world.evacuate(7, "b")
+        world.step(50)
+        self.assertEqual(world.evacuated, [])
+        world.cut = set()
+        world.step(6)
+        self.assertEqual(world.evacuated, [{"b"}])
+
+    def test_table_comes_with_the_evacuations(self):
+        """An instance that has its first table knows where it must not place.
+
+        While they came by a message of their own, that could be lost and the table not.
+        """
+        world = World(("a",))
+        world.evacuate(7, "b")
+        offer = compressed_table(9)
+        offer.evacuations.CopyFrom(world.publishers[address(0)].newest)
+        world.hub(0).greet([KnownEntry(world.entry_address, "a")])
+        world.hub(0).offer_routes(offer)
+        world.deliver()
+        self.assertEqual(world.entry.routes_version, 9)
+        self.assertEqual(world.evacuated, [{"b"}])
+
+    def test_acknowledged_change_is_not_sent_again(self):
+        """What everyone knows costs nothing more."""
+        world = World()
+        world.step(5)
+        world.evacuate(7, "b")
+        world.step(5)
+        before_bytes = world.sent_bytes
+        for publisher in world.publishers.values():
+            publisher.publish()
+        self.assertEqual(world.sent_bytes, before_bytes)
+
+
+class TestWaiting(unittest.IsolatedAsyncioTestCase):
+    async def test_wait_ends_when_all_in_sight_know(self):
+        """The operator's answer waits for the entry instances, within its limit."""
+        world = World(("a",))
+        world.step(5)
+        publisher = world.publishers[address(0)]
+        world.cut = {world.entry_address}
+        world.evacuate(7, "b")
+        self.assertFalse(await publisher.wait_until_known(7, 0.01))
+        world.cut = set()
+        world.step(4)
+        self.assertTrue(await publisher.wait_until_known(7, 0.01))
+
+    async def test_nobody_in_sight_is_not_waited_for(self):
+        """Without entry instances the order is answered at once."""
+        world = World(("a",))
+        world.evacuate(7, "b")
+        known = await world.publishers[address(0)].wait_until_known(7, 0.01)
+        self.assertTrue(known)
+
+
+class EvacuationMachine(RuleBasedStateMachine):
+    """Orders, losses, cuts and restarts against what the log holds."""
+
+    @initialize(seed=strategies.integers(0, 1_000))
+    def begin(self, seed):
+        self.world = World(("a", "b", "c"), seed)
+        self.version = 0
+        self.domains = set()
+        self.world.step(5)
+
+    @rule(domain=strategies.sampled_from("abc"), behind=strategies.integers(0, 3))
+    def order(self, domain, behind):
+        """Take an order; one control instance may not have it yet."""
+        self.version += 1
+        self.domains ^= {domain}
+        numbers = [number for number in range(3) if number != behind]
+        self.world.evacuate(self.version, *sorted(self.domains), numbers=numbers)
+
+    @rule(loss=strategies.sampled_from([0.0, 0.3]))
+    def lose(self, loss):
+        self.world.loss = loss
+
+    @rule(cut=strategies.sets(strategies.sampled_from([0, 1, 2, 99])))
+    def cut(self, cut):
+        self.world.cut = {address(number) for number in cut}
+
+    @rule(count=strategies.integers(1, 5))
+    def wait(self, count):
+        self.world.step(count)
+
+    @rule()
+    def heal(self):
+        """Without faults the newest order is in force within 5 s."""
+        self.world.cut, self.world.loss = set(), 0.0
+        self.world.evacuate(self.version, *sorted(self.domains))
+        self.world.step(20)
+        newest = self.world.evacuated[-1] if self.world.evacuated else set()
+        assert newest == self.domains, (newest, self.domains)
+
+    @invariant()
+    def never_goes_back(self):
+        """What is in force is never replaced by something older."""
+        versions = [one.newest.version for one in self.world.publishers.values()]
+        assert self.world.entry._evacuations.version <= max(versions)
+
+
+TestEvacuationMachine = EvacuationMachine.TestCase
+TestEvacuationMachine.settings = settings(
+    max_examples=30, stateful_step_count=20, deadline=None
+)
--- a/tests/registry/worlds.py
+++ b/tests/registry/worlds.py
@@ -5,13 +5,15 @@
 
 from agatethread.observability import Counters
 from agatethread.registry import (
+    EvacuationPublisher,
+    KnownEvacuations,
     RegistryHub,
     RoutesOffer,
     RunTable,
     Subscription,
     decode_message,
 )
-from agatethread.wire.registry_pb2 import RoutingTable, TableRoute
+from agatethread.wire.registry_pb2 import Evacuations, RoutingTable, TableRoute
 from tests.fakes import Clock, address
 from tests.registry.test_runs import INTERVAL_S
 
@@ -36,7 +38,9 @@
         self.sent_bytes = self.received_bytes = 0
         self.queue = []
         self.runs, self.tables = [], []
-        self.hubs, self.links = {}, {}
+        self.hubs, self.links, self.publishers = {}, {}, {}
+        #: Evacuated failure domains, as the entry instance was told.
+        self.evacuated = []
         self.entry_address = address(99)
         seeds = [address(number) for number in range(len(domains))]
         for number, domain in enumerate(domains):
@@ -51,6 +55,7 @@
             self.runs.append,
             self.tables.append,
             Counters(),
+            KnownEvacuations(self.evacuated.append),
         )
 
     def start_hub(self, number, domain, seeds):
@@ -77,6 +82,9 @@
             Counters(),
         )
         self.hubs[place] = (table, hub)
+        self.publishers[place] = EvacuationPublisher(
+            hub.entries_in_sight, self.sender(place), self.clock
+        )
         self.links[place] = link
 
     def sender(self, source):
@@ -97,10 +105,12 @@
             body = message.WhichOneof("body")
             if target == self.entry_address:
                 self.received_bytes += len(data)
-                handler = (
-                    self.entry.on_delta if body == "delta" else self.entry.on_chunk
-                )
-                handler(getattr(message, body), source)
+                handlers = {
+                    "delta": self.entry.on_delta,
+                    "routes": self.entry.on_chunk,
+                    "evacuations": self.entry.on_evacuations,
+                }
+                handlers[body](getattr(message, body), source)
             elif body == "poll":
                 self.hubs[target][1].on_poll(message.poll, source)
             else:
@@ -113,6 +123,8 @@
             for table, hub in self.hubs.values():
                 table.sweep()
                 hub.flush()
+            for publisher in self.publishers.values():
+                publisher.publish()
             if number % 4 == 0:
                 self.entry.poll()
                 for link in self.links.values():
@@ -125,6 +137,12 @@
     def hub(self, number):
         return self.hubs[address(number)][1]
 
+    def evacuate(self, version, *domains, numbers=None):
+        """Let some control instances have an evacuation in their logs."""
+        for number in range(len(self.hubs)) if numbers is None else numbers:
+            evacuations = Evacuations(version=version, failure_domains=domains)
+            self.publishers[address(number)].offer(evacuations)
+
     def told(self):
         """What the entry instance was told last of each run."""
         return {run.id: run for run in self.runs}
