--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -14,6 +14,10 @@
 #: `_ENDED_KEPT_S`; a backend server that starts more often in that time serves none.
 _MOST_EARLIER_LABELS = 8
 
+#: Reporting intervals after which every run of a readmitted failure domain has said
+#: whether it is cold; until then it counts as cold.
+_READMITTED_INTERVALS = 1.5
+
 log = make_logger("backends")
 
 
@@ -28,6 +32,8 @@
         Counts changes.
     policies : Policies, optional
         How runs are judged.
+    report_interval_s : float, optional
+        Time between two reports of a run.
     """
 
     def __init__(
@@ -35,8 +41,10 @@
         now_s: Callable[[], float],
         counters: Counters,
         policies: Policies = DEFAULT_POLICIES,
+        report_interval_s: float = 0.0,
     ):
         self._policies = policies
+        self._readmitted_cold_s = _READMITTED_INTERVALS * report_interval_s
         self._now_s = now_s
         self._counters = counters
         self._by_id: dict[str, Backend] = {}
@@ -127,8 +135,12 @@
         """
         log.info(Event.EVACUATIONS_IN_FORCE, domains=sorted(failure_domains))
         self._evacuated = failure_domains
+        known_cold_s = self._now_s() + self._readmitted_cold_s
         for backend in self._by_id.values():
+            was_evacuated = backend.evacuated
             backend.evacuated = backend.failure_domain in failure_domains
+            if was_evacuated and not backend.evacuated:
+                backend.warm_s = max(backend.warm_s, known_cold_s)
 
     def take_newly_ended(self) -> list[Backend]:
         """Hand out the runs whose end was learned since the last call.
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -10,6 +10,7 @@
 
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._backends import BackendView
+from agatethread.datapath._cold import ColdLimits
 from agatethread.datapath._flows import Flow, FlowLoads
 from agatethread.datapath._packets import (
     Address,
@@ -18,7 +19,12 @@
     PacketCodec,
     caller_packet,
 )
-from agatethread.datapath._placing import choose_service, order_services, place_flow
+from agatethread.datapath._placing import (
+    choose_service,
+    may_take_work,
+    order_services,
+    place_flow,
+)
 from agatethread.datapath._sightings import SharedSilence
 from agatethread.datapath._silence import ends_with_its_run, is_unreachable
 from agatethread.observability import Counters, Event, make_logger
@@ -61,6 +67,8 @@
         Tells whether every backend server that reports is known here.
     policies : Policies, optional
         How flows are placed and ended.
+    cold : ColdLimits, optional
+        What cold backend servers get.
     """
 
     def __init__(
@@ -74,7 +82,9 @@
         flow_limit_count: int,
         knows_all: Callable[[], bool],
         policies: Policies = DEFAULT_POLICIES,
+        cold: ColdLimits | None = None,
     ):
+        self._cold = cold or ColdLimits()
         self._codec = codec
         self._view = view
         self._failure_domain = failure_domain
@@ -106,6 +116,8 @@
             routes=len(table.routes),
         )
         self.table = table
+        if self._policies.spares_cold_backends:
+            self._cold.rates_per_s = table.cold_rates_per_s
 
     def on_datagram(self, data: bytes, _: Address) -> None:
         """Handle one datagram of a caller.
@@ -148,21 +160,36 @@
             now_s,
             tried,
             self._policies,
+            self._cold,
         )
         if backend is None:
-            if self._knows_all():
-                self._reset(packet, "no_backend")
-            else:
-                self._drop(packet, "no_backend_known")
+            self._answer_unplaced(packet, route, now_s)
             return
         self._log_placed(packet, backend, tried, now_s)
         backend.start_trial(now_s)
+        self._cold.note(backend, now_s)
         self.loads.open(packet.key, backend, now_s)
         self._forward(packet, backend)
         self._counters["flows_placed"] += 1
         if packet.copy:
             self._counters["openings_again"] += 1
 
+    def _answer_unplaced(self, packet: Packet, route: Route, now_s: float) -> None:
+        """Refuse an opening that nobody will take; leave others to their copies."""
+        if not self._knows_all():
+            self._drop(packet, "no_backend_known")
+            return
+        warming = any(
+            may_take_work(backend)
+            for target in route.targets
+            for backend in self._view.of_service(target.service)
+        )
+        if warming:
+            # Refused it would come back within milliseconds, and be refused again.
+            self._drop(packet, "backends_cold")
+        else:
+            self._reset(packet, "no_backend")
+
     def _judge_earlier(
         self, packet: Packet, route: Route, now_s: float
     ) -> tuple[str, tuple[Backend, ...]]:
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from agatethread.datapath._backends import BackendView
+from agatethread.datapath._cold import ColdLimits
 from agatethread.datapath._forwarder import LabelForwarder
 from agatethread.datapath._leaving import Departure
 from agatethread.datapath._pacing import PacedSender
@@ -81,6 +82,12 @@
     listen_host : str, optional
         IP number to hear control instances at, where something in between forwards what
         they send to the advertised one.
+    report_interval_s : float, optional
+        Time between two reports of a backend server.
+    cold_overshoot : float, optional
+        How many times its rate a cold backend server may get in a second.
+    cold_slack_per_s : float, optional
+        Requests that it may get in a second besides.
     policies : Policies, optional
         What it decides by.
     """
@@ -94,6 +101,9 @@
     link_bits_per_s: float
     flow_limit_count: int = 100_000
     listen_host: str = ""
+    report_interval_s: float = 1.0
+    cold_overshoot: float = 1.0
+    cold_slack_per_s: float = 0.0
     policies: Policies = DEFAULT_POLICIES
 
 
@@ -120,7 +130,8 @@
         now_s = self.timers.now_s
         policies = settings.policies
         self.readiness = Readiness(now_s, policies)
-        self.view = BackendView(now_s, counters, policies)
+        self.view = BackendView(now_s, counters, policies, settings.report_interval_s)
+        self._cold = ColdLimits(settings.cold_overshoot, settings.cold_slack_per_s)
         self._socket = open_socket(settings.datagrams)
         self.sender = PacedSender(
             send_or_count(self._socket, counters),
@@ -139,6 +150,7 @@
             settings.flow_limit_count,
             lambda: self.subscription.is_complete(),
             policies,
+            self._cold,
         )
         self._transport = RegistryTransport(
             listen_address(settings.registry, settings.listen_host), counters
@@ -221,6 +233,7 @@
     def _judge(self) -> None:
         self.forwarder.tick()
         self.view.judge(self.subscription.is_reporting)
+        self._cold.place = self.subscription.place()
 
     def _judge_suspects(self) -> None:
         self.forwarder.end_flows_of_lost_runs()
@@ -231,7 +244,9 @@
             self.subscription.tell(sightings)
 
     def _sweep(self) -> None:
-        self.forwarder.loads.sweep(self.timers.now_s())
+        now_s = self.timers.now_s()
+        self.forwarder.loads.sweep(now_s)
+        self._cold.sweep(now_s)
 
     def _check_ready(self) -> None:
         ready = self.readiness.check(
--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from agatethread.datapath._backend import Backend
+from agatethread.datapath._cold import NO_COLD_LIMITS, ColdLimits
 from agatethread.routing import Target
 from agatethread.settings import DEFAULT_POLICIES, Policies
 
@@ -160,6 +161,7 @@
     now_s: float,
     tried: Sequence[Backend] = (),
     policies: Policies = DEFAULT_POLICIES,
+    cold: ColdLimits = NO_COLD_LIMITS,
 ) -> Backend | None:
     """Choose the run of a new flow among all services that may take it.
 
@@ -181,17 +183,30 @@
         Runs that have not answered this flow.
     policies : Policies, optional
         Which runs may be tried.
+    cold : ColdLimits, optional
+        Which cold runs get nothing, or little.
 
     Returns
     -------
     Backend or None
-        None when every run is known to be gone or leaving.
+        None when no run may be given it.
     """
     if not policies.uses_other_services:
         services = services[:1]
+
+    def is_spared(backend: Backend) -> bool:
+        return cold.spares(backend, now_s)
+
     for may_take in (
-        may_take_work,
-        lambda backend: may_be_alive(backend, now_s, policies),
+        lambda backend: may_take_work(backend) and not is_spared(backend),
+        lambda backend: (
+            may_take_work(backend)
+            and is_spared(backend)
+            and cold.permits(backend, now_s)
+        ),
+        lambda backend: (
+            may_be_alive(backend, now_s, policies) and not is_spared(backend)
+        ),
     ):
         for service in services:
             backend = choose_backend(
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -135,7 +135,15 @@
         Event.BACKEND_ANSWERS: frozenset({"run"}),
         Event.LABEL_SHARED: frozenset({"kept", "other"}),
         Event.BACKEND_REPORTS: frozenset(
-            {"run", "started_ms", "service", "sequence", "draining", "new"}
+            {
+                "run",
+                "started_ms",
+                "service",
+                "sequence",
+                "draining",
+                "new",
+                "warm_up_ms",
+            }
         ),
         Event.BACKEND_STOPPED: frozenset(
             {"run", "started_ms", "service", "last_report_ago_s"}
--- a/src/agatethread/registry/__init__.py
+++ b/src/agatethread/registry/__init__.py
@@ -4,7 +4,7 @@
 from agatethread.registry._hub import RegistryHub, RoutesOffer
 from agatethread.registry._link import HubLink
 from agatethread.registry._memory import Hints, KnownEntry, load_hints, save_hints
-from agatethread.registry._presence import DomainView
+from agatethread.registry._presence import NO_PLACE, DomainView, Place
 from agatethread.registry._report import START_NOT_TOLD, Report
 from agatethread.registry._runs import RunTable
 from agatethread.registry._sightings import SightingPool
@@ -12,6 +12,7 @@
 from agatethread.registry._transport import RegistryTransport, decode_message
 
 __all__ = [
+    "NO_PLACE",
     "START_NOT_TOLD",
     "DomainView",
     "EvacuationPublisher",
@@ -19,6 +20,7 @@
     "HubLink",
     "KnownEntry",
     "KnownEvacuations",
+    "Place",
     "RegistryHub",
     "RegistryTransport",
     "Report",
--- a/src/agatethread/registry/_link.py
+++ b/src/agatethread/registry/_link.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from agatethread.registry._presence import NO_PLACE, Place
 from agatethread.wire.registry_pb2 import DomainCounts
 
 
@@ -26,6 +27,8 @@
     hears_leader: bool = False
     #: Its newest agreed routing table, as it said last.
     routes_version: int = 0
+    #: This instance's rank among the entry instances that it hears.
+    place: Place = NO_PLACE
     #: What it said of this instance's failure domain, and when.
     domain: DomainCounts | None = None
     domain_told_s: float = float("-inf")
--- a/src/agatethread/registry/_presence.py
+++ b/src/agatethread/registry/_presence.py
@@ -43,6 +43,35 @@
     ahead: int
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """An entry instance's rank among all that a control instance hears."""
+
+    rank: int
+    count: int
+
+
+#: Nobody has told it yet.
+NO_PLACE = Place(0, 0)
+
+
+def rank_entries(addresses: Iterable[bytes]) -> dict[bytes, Place]:
+    """Rank entry instances; all that know the same ones rank them alike.
+
+    Parameters
+    ----------
+    addresses : iterable of bytes
+        Their packed addresses.
+
+    Returns
+    -------
+    dict of bytes to Place
+        By address.
+    """
+    ordered = sorted(addresses)
+    return {address: Place(rank, len(ordered)) for rank, address in enumerate(ordered)}
+
+
 def count_domain(
     subscribers: Mapping[bytes, Subscriber], address: bytes, now_s: float
 ) -> DomainCounts:
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -175,13 +175,16 @@
         run = entry.run
         is_new = entry.heard_s == 0.0
         draining = run.draining or report.draining
-        changed = is_new or run.silent or draining != run.draining
+        warm_up_ms = int(report.warm_up_s * 1000)
+        # It may turn cold while it lives, as servers do that got no work for long.
+        is_colder = warm_up_ms > run.warm_up_ms
+        changed = is_new or run.silent or draining != run.draining or is_colder
         entry.heard_s = self._now_s()
         run.sequence = report.sequence
         run.slots = report.slots
         run.draining = draining
         run.silent = False
-        run.warm_up_ms = int(report.warm_up_s * 1000)
+        run.warm_up_ms = warm_up_ms
         if changed:
             self._mark(entry)
             log.info(
@@ -192,6 +195,7 @@
                 sequence=run.sequence,
                 draining=run.draining,
                 new=is_new,
+                warm_up_ms=run.warm_up_ms,
             )
         return changed
 
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -18,7 +18,7 @@
     knows_more,
 )
 from agatethread.registry._link import HubLink
-from agatethread.registry._presence import DomainView, merge_counts
+from agatethread.registry._presence import NO_PLACE, DomainView, Place, merge_counts
 from agatethread.registry._report import START_NOT_TOLD
 from agatethread.wire.registry_pb2 import (
     PRESENCE_UNKNOWN,
@@ -301,6 +301,7 @@
     def _note_hub(self, link: HubLink, state: HubState) -> None:
         link.hears_leader = state.hears_leader
         link.routes_version = state.routes_version
+        link.place = Place(state.rank, state.entries)
         if state.HasField("domain"):
             link.domain = state.domain
             link.domain_told_s = self._now_s()
@@ -381,6 +382,17 @@
         links = [link for link in self.links.values() if link.domain_told_s >= since_s]
         return merge_counts(link.domain for link in links)
 
+    def place(self) -> Place:
+        """Tell this entry instance's rank among all.
+
+        Returns
+        -------
+        Place
+            As the one says that hears the most; `NO_PLACE` if none does.
+        """
+        places = [link.place for link in self.live()]
+        return max(places, key=lambda place: place.count, default=NO_PLACE)
+
     def is_reporting(self, run_id: str, started_ms: int = START_NOT_TOLD) -> bool:
         """Tell whether a run may be alive, as far as those in sight know.
 
--- a/src/agatethread/routing/__init__.py
+++ b/src/agatethread/routing/__init__.py
@@ -6,6 +6,7 @@
 from agatethread.routing._open_flows import OpenFlowOutcome, judge_open_flow
 from agatethread.routing._table import (
     NO_ROUTES,
+    ColdLimit,
     Route,
     RouteRule,
     RouteTable,
@@ -18,6 +19,7 @@
 )
 
 __all__ = [
+    "ColdLimit",
     "NO_ROUTES",
     "Endpoint",
     "EndpointTable",
--- a/src/agatethread/routing/_table.py
+++ b/src/agatethread/routing/_table.py
@@ -1,7 +1,7 @@
 """The routing table: which service takes the new flows of an address and port."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from agatethread.exceptions import (
     DocumentError,
@@ -9,7 +9,12 @@
     RouteConflictError,
     UnknownServiceError,
 )
-from agatethread.wire.registry_pb2 import RouteTarget, RoutingTable, TableRoute
+from agatethread.wire.registry_pb2 import (
+    ColdRate,
+    RouteTarget,
+    RoutingTable,
+    TableRoute,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,13 +53,34 @@
     idempotent: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """What a service's backend servers bear while they are cold."""
+
+    service: str
+    rate_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingDocument:
-    """All routes and services of one version."""
+    """All routes and services of one version.
+
+    Attributes
+    ----------
+    version : int
+        The highest is in force.
+    services : tuple of str
+        Their names.
+    rules : tuple of RouteRule
+        The routes.
+    cold_limits : tuple of ColdLimit, optional
+        Of the services that have one.
+    """
 
     version: int
     services: tuple[str, ...]
     rules: tuple[RouteRule, ...]
+    cold_limits: tuple[ColdLimit, ...] = ()
 
 
 def check_document(document: RoutingDocument) -> None:
@@ -113,6 +139,10 @@
     """
     position = {service: index for index, service in enumerate(document.services)}
     table = RoutingTable(version=document.version, services=document.services)
+    for limit in document.cold_limits:
+        table.cold_rates.append(
+            ColdRate(service=position[limit.service], rate_per_s=limit.rate_per_s)
+        )
     for rule in document.rules:
         targets = [
             RouteTarget(service=position[target.service], weight=target.weight)
@@ -181,6 +211,8 @@
 
     version: int
     routes: Mapping[tuple[int, int], Route]
+    #: Requests a second that a cold backend server of a service bears, where limited.
+    cold_rates_per_s: Mapping[str, float] = field(default_factory=dict)
 
 
 #: Before any table has arrived.
@@ -211,4 +243,7 @@
         routes[route.host, route.port] = Route(
             targets, frozenset(services), route.idempotent
         )
-    return RouteTable(table.version, routes)
+    cold_rates_per_s = {
+        table.services[cold.service]: cold.rate_per_s for cold in table.cold_rates
+    }
+    return RouteTable(table.version, routes, cold_rates_per_s)
--- a/src/agatethread/settings/_checking.py
+++ b/src/agatethread/settings/_checking.py
@@ -160,8 +160,12 @@
         name = f"{path}.{rule.name}" if path else rule.name
         if rule.nested is None:
             yield from _check_value(source, name, value, rule.bounds)
-        elif isinstance(value, dict):
-            yield from _check_ranges(source, name, rule.nested, value)
+            continue
+        rows = enumerate(value) if isinstance(value, list) else ((None, value),)
+        for number, row in rows:
+            if isinstance(row, dict):
+                place = name if number is None else f"{name}[{number}]"
+                yield from _check_ranges(source, place, rule.nested, row)
 
 
 def _check_value(source: str, name: str, value: Any, rules: Any) -> Iterator[Any]:
--- a/src/agatethread/settings/_policies.py
+++ b/src/agatethread/settings/_policies.py
@@ -29,6 +29,11 @@
     #: How much slower a backend server counts just after its start, as measured on the
     #: platform; 1: like any other.
     cold_factor: float = _threshold(1.6, 1.0, 1.0, 100.0)
+    #: Whether a cold backend server gets no new flow while a warm one can take it, and
+    #: few else, where its service tells what a cold one bears; else it only counts as
+    #: slower. Against more in a second than it bears, from many instances that don't
+    #: see each other.
+    spares_cold_backends: bool = _switch()
     #: Longest pause in which a backend server gets no new flows after openings went
     #: unanswered, against sending callers to a dead one; 0: no pause. The longest costs
     #: a server that is back little.
--- /dev/null
+++ b/tests/datapath/test_cold.py
@@ -0,0 +1,163 @@
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from agatethread.datapath import Backend
+from agatethread.datapath._cold import ColdLimits, count_share
+from agatethread.datapath._placing import place_flow
+from agatethread.registry import Place
+from agatethread.routing import RouteTable
+from tests.datapath.worlds import ForwarderCase, opening, run, table
+
+#: What a cold server may get in a second, and how: 5 with a rate of 0.
+OVERSHOOT, SLACK_PER_S = 1.5, 5.0
+
+
+class TestShares(unittest.TestCase):
+    @given(
+        limit_per_s=st.floats(0, 500),
+        number=st.integers(0, 2**64 - 1),
+        counts=st.lists(st.integers(1, 400), min_size=1, max_size=3),
+    )
+    def test_all_shares_together_keep_to_the_limit(self, limit_per_s, number, counts):
+        """Also where each of three parts of a fleet takes itself for the whole."""
+        given_out = sum(
+            count_share(limit_per_s, number, Place(rank, count))
+            for count in counts
+            for rank in range(count)
+        )
+        self.assertLessEqual(given_out, limit_per_s)
+
+    def test_shares_differ_between_servers(self):
+        """The instances that may send to one server are not those of another."""
+        holders = {
+            number: [
+                rank for rank in range(70) if count_share(5.0, number, Place(rank, 70))
+            ]
+            for number in range(60)
+        }
+        self.assertEqual({len(ranks) for ranks in holders.values()}, {1})
+        self.assertEqual(len({ranks[0] for ranks in holders.values()}), 60)
+
+    def test_without_a_rank_nothing_is_given(self):
+        """An instance that hears no control instance may be one of any number."""
+        self.assertEqual(count_share(100.0, 1, Place(0, 0)), 0)
+
+
+class Instance:
+    """An entry instance's own view of some servers."""
+
+    def __init__(self, rank, count, backend_count, cold_count, limit):
+        self.cold = ColdLimits(OVERSHOOT, SLACK_PER_S)
+        self.cold.place = Place(rank, count)
+        self.cold.rates_per_s = {"tab": limit}
+        self.backends = [Backend(run(nth)) for nth in range(1, backend_count + 1)]
+        for backend in self.backends[:cold_count]:
+            backend.warm_s = 2.0
+
+    def place(self, now_s):
+        backend = place_flow(
+            ["tab"], lambda _: self.backends, "a", now_s, cold=self.cold
+        )
+        if backend is not None:
+            self.cold.note(backend, now_s)
+        return backend
+
+
+def play(cold_count, rate_per_s, openings_per_s=500, instance_count=70):
+    """Two seconds on 60 servers; return when each cold one was sent what."""
+    draw = random.Random(1)
+    instances = [
+        Instance(rank, instance_count, 60, cold_count, rate_per_s)
+        for rank in range(instance_count)
+    ]
+    sent, unplaced, now_s = {}, 0, 0.0
+    while now_s < 1.99:
+        now_s += draw.expovariate(openings_per_s)
+        backend = draw.choice(instances).place(now_s)
+        if backend is None:
+            unplaced += 1
+        elif now_s < backend.warm_s:
+            sent.setdefault(backend.id, []).append(now_s)
+    return sent, unplaced
+
+
+def most_in_a_second(times):
+    """The fullest sliding second."""
+    return max(
+        sum(1 for other in times if start <= other < start + 1.0) for start in times
+    )
+
+
+class TestColdServers(unittest.TestCase):
+    """What cold servers and callers get on a day with 500 new flows a second."""
+
+    def test_readmitted_domain_gets_nothing_while_cold(self):
+        """A third of 60 servers is cold, and no caller waits for that."""
+        self.assertEqual(play(cold_count=20, rate_per_s=0.0), ({}, 0))
+
+    def test_all_cold_keep_to_their_limit(self):
+        """With all cold no sliding second brings one more than it may get."""
+        for rate_per_s in (0.0, 20.0):
+            with self.subTest(rate_per_s=rate_per_s):
+                sent, unplaced = play(60, rate_per_s)
+                limit_per_s = rate_per_s * OVERSHOOT + SLACK_PER_S
+                # A third of the limit each 1.2 s; chance leaves some of it unused.
+                could_serve = 60 * int(limit_per_s / 3) / 1.2 / 500
+                least_served = 0.7 * min(1.0, could_serve)
+                fullest = max(most_in_a_second(times) for times in sent.values())
+                self.assertLessEqual(fullest, limit_per_s)
+                served = sum(map(len, sent.values()))
+                self.assertGreater(served / (served + unplaced), least_served)
+
+    def test_without_a_limit_cold_servers_take_part(self):
+        """Where nothing is told of what they bear they only count as slower."""
+        instance = Instance(0, 1, 3, 3, 0.0)
+        instance.cold.rates_per_s = {}
+        self.assertIsNotNone(instance.place(0.5))
+
+
+class TestColdForwarding(ForwarderCase):
+    def setUp(self):
+        super().setUp()
+        limited = RouteTable(2, table().routes, {"tab": 0.0})
+        self.forwarder.take_table(limited)
+        self.view.take(run(1, warm_up_ms=2_000))
+
+    def test_opening_waits_for_a_server_that_is_nearly_warm(self):
+        """Refused, its caller would be back at once and use up its tries."""
+        self.assertEqual(self.handle(opening()), [])
+        self.clock.value_s += 2.1
+        self.assertEqual(self.handle(opening(copy=1)), [("forward", 1)])
+
+    def test_warm_server_takes_what_there_is(self):
+        """With a warm server in sight the cold one gets nothing."""
+        self.view.take(run(2))
+        for port in range(10, 30):
+            self.assertEqual(self.handle(opening(port)), [("forward", 2)])
+
+    def test_server_that_turns_cold_is_spared(self):
+        """It may turn cold while it lives."""
+        self.clock.value_s += 5.0
+        self.assertEqual(self.handle(opening(5)), [("forward", 1)])
+        self.view.take(run(1, sequence=2, warm_up_ms=2_000))
+        self.assertEqual(self.handle(opening(6)), [])
+
+
+class TestReadmission(ForwarderCase):
+    def test_readmitted_servers_count_as_cold_until_they_have_reported(self):
+        """Whether they are is said by their next reports."""
+        self.view._readmitted_cold_s = 1.8
+        self.forwarder.take_table(RouteTable(2, table().routes, {"tab": 0.0}))
+        self.view.take(run(1))
+        self.view.take(run(2, failure_domain="b"))
+        self.clock.value_s += 10.0
+        self.view.take_evacuations(frozenset({"a"}))
+        self.view.take_evacuations(frozenset())
+        for port in range(10, 20):
+            self.assertEqual(self.handle(opening(port)), [("forward", 2)])
+        self.clock.value_s += 1.9
+        placed = {self.handle(opening(port))[0][1] for port in range(20, 60)}
+        self.assertEqual(placed, {1, 2})
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from agatethread.exceptions import DocumentError, FieldError
-from agatethread.routing import Target, check_document
+from agatethread.routing import ColdLimit, Target, check_document
 from agatethread.wire.registry_pb2 import BackendRun
 
 CONFIGURATION = {
@@ -67,6 +67,17 @@
 
 
 class TestConfiguration(unittest.TestCase):
+    def test_what_cold_servers_bear_is_read(self):
+        """A service that does not tell it has no limit; 0 is one."""
+        services = [{"name": "tab", "warmup_per_s": 0}, {"name": "archive"}]
+        body = changed(CONFIGURATION, ["services"], services)
+        limits = decode_configuration(body).cold_limits
+        self.assertEqual(limits, (ColdLimit("tab", 0.0),))
+        for value in (-1, "20", None):
+            with self.subTest(value=value), self.assertRaises(DocumentError):
+                services[0]["warmup_per_s"] = value
+                decode_configuration(changed(CONFIGURATION, ["services"], services))
+
     def test_routes_are_read(self):
         """Hosts, ports, services and weights are read from the platform's names."""
         document = decode_configuration(json.dumps(CONFIGURATION).encode())
--- a/tests/registry/test_runs.py
+++ b/tests/registry/test_runs.py
@@ -54,6 +54,15 @@
         self.assertFalse(self.table.report(report(sequence=4)))
         self.assertTrue(self.run_of().draining)
 
+    def test_run_that_turns_cold_is_told(self):
+        """It may while it lives; that it goes on warming up is no news."""
+        self.table.report(report(sequence=1))
+        before = self.table.changed_index
+        self.assertTrue(self.table.report(report(sequence=2, warm_up_s=2.0)))
+        self.assertGreater(self.table.changed_index, before)
+        self.assertFalse(self.table.report(report(sequence=3, warm_up_s=0.8)))
+        self.assertFalse(self.table.report(report(sequence=4)))
+
     def test_draining_is_never_taken_back(self):
         """A run that once asked for no more work stays so."""
         self.table.report(report(sequence=1, draining=True))
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -10,6 +10,7 @@
     UnknownServiceError,
 )
 from agatethread.routing import (
+    ColdLimit,
     RouteRule,
     RoutingDocument,
     Target,
@@ -30,6 +31,21 @@
     return RoutingDocument(version, services, rules)
 
 
+class TestColdLimits(unittest.TestCase):
+    def test_limits_reach_entry_instances(self):
+        """Also where a later table lists its services in another order."""
+        first = RoutingDocument(
+            1, ("tab", "archive"), (rule(),), (ColdLimit("archive", 20.0),)
+        )
+        before = encode_table(first)
+        later = encode_table(
+            RoutingDocument(2, ("archive",), (), (ColdLimit("archive", 0.0),))
+        )
+        keep_earlier_services(later, before)
+        self.assertEqual(decode_table(before).cold_rates_per_s, {"archive": 20.0})
+        self.assertEqual(decode_table(later).cold_rates_per_s, {"archive": 0.0})
+
+
 class TestCheckDocument(unittest.TestCase):
     def faults_of(self, checked):
         with self.assertRaises(DocumentError) as caught:
