--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -51,6 +51,8 @@
         self._by_label: dict[int, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
         self._evacuated: frozenset[str] = frozenset()
+        #: Evacuated failure domain that is served all the same; empty for none.
+        self._exempt = ""
         #: Runs whose end was learned since somebody asked last.
         self._newly_ended: list[Backend] = []
 
@@ -134,14 +136,55 @@
             All of them.
         """
         log.info(Event.EVACUATIONS_IN_FORCE, domains=sorted(failure_domains))
+        readmitted = self._evacuated - failure_domains
         self._evacuated = failure_domains
         known_cold_s = self._now_s() + self._readmitted_cold_s
         for backend in self._by_id.values():
-            was_evacuated = backend.evacuated
-            backend.evacuated = backend.failure_domain in failure_domains
-            if was_evacuated and not backend.evacuated:
+            backend.evacuated = self._is_evacuated(backend)
+            if backend.failure_domain in readmitted:
                 backend.warm_s = max(backend.warm_s, known_cold_s)
 
+    def exempt(self, failure_domain: str) -> None:
+        """Give a failure domain's runs new flows though it is evacuated.
+
+        Parameters
+        ----------
+        failure_domain : str
+            Its name; empty for none.
+        """
+        if failure_domain == self._exempt:
+            return
+        if self._evacuated & {failure_domain, self._exempt}:
+            log.info(Event.EVACUATION_EXEMPT, domain=failure_domain)
+        self._exempt = failure_domain
+        for backend in self._by_id.values():
+            backend.evacuated = self._is_evacuated(backend)
+
+    def is_answered_outside(self, failure_domain: str, since_s: float) -> bool:
+        """Tell whether callers hear from any run of the other failure domains.
+
+        Parameters
+        ----------
+        failure_domain : str
+            Whose runs do not count.
+        since_s : float
+            Since when.
+
+        Returns
+        -------
+        bool
+            Whether one has answered since.
+        """
+        return any(
+            backend.answered_s > since_s
+            for backend in self._by_id.values()
+            if backend.failure_domain != failure_domain
+        )
+
+    def _is_evacuated(self, backend: Backend) -> bool:
+        domain = backend.failure_domain
+        return domain in self._evacuated and domain != self._exempt
+
     def take_newly_ended(self) -> list[Backend]:
         """Hand out the runs whose end was learned since the last call.
 
@@ -156,7 +199,7 @@
 
     def _add(self, run: BackendRun) -> Backend:
         backend = Backend(run, self._policies)
-        backend.evacuated = backend.failure_domain in self._evacuated
+        backend.evacuated = self._is_evacuated(backend)
         self._by_id[run.id] = backend
         holder = self._by_label.get(backend.label)
         if holder is not None and not holder.ended:
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -14,7 +14,13 @@
 from agatethread.datapath._packets import PacketCodec
 from agatethread.datapath._readiness import Readiness
 from agatethread.observability import Counters, Event, Measures, make_logger
-from agatethread.registry import KnownEvacuations, RegistryTransport, Subscription
+from agatethread.registry import (
+    KnownEvacuations,
+    RegistryTransport,
+    Subscription,
+    is_cut_off,
+    widest_place,
+)
 from agatethread.routing import decode_table
 from agatethread.settings import (
     DEFAULT_POLICIES,
@@ -49,6 +55,9 @@
 _URGENT_INTERVAL_S = 0.05
 _SWEEP_INTERVAL_S = 1.0
 _CHECK_INTERVAL_S = 0.1
+#: Without an answer from the other failure domains for so long they may be out of
+#: reach: as long as control instances may be silent.
+_CUT_OFF_S = 1.0
 #: Rate of a link that never makes a packet wait.
 _UNPACED_BITS_PER_S = 1e12
 #: Pause between two questions of a stopping instance whether it may leave.
@@ -233,7 +242,18 @@
     def _judge(self) -> None:
         self.forwarder.tick()
         self.view.judge(self.subscription.is_reporting)
-        self._cold.place = self.subscription.place()
+        self._cold.place = widest_place(self.subscription.live())
+        if self._settings.policies.serves_evacuated_when_cut_off:
+            self.view.exempt(
+                self._settings.failure_domain if self._is_cut_off() else ""
+            )
+
+    def _is_cut_off(self) -> bool:
+        domain = self._settings.failure_domain
+        if self.view.is_answered_outside(domain, self.timers.now_s() - _CUT_OFF_S):
+            return False
+        links = self.subscription.links.values()
+        return is_cut_off(links, self.subscription.live(), domain)
 
     def _judge_suspects(self) -> None:
         self.forwarder.end_flows_of_lost_runs()
--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -63,9 +63,8 @@
 def _is_closed(backend: Backend) -> bool:
     """Tell whether a run gets no new flow whoever is left.
 
-    An evacuated failure domain stays empty also where nobody else is in sight: what
-    operators do there, as taking its power away, would cost callers more than a
-    refusal at once.
+    An evacuated failure domain stays empty also where nobody else is in sight, but for
+    instances that are cut off with it, see `BackendView.exempt`.
     """
     if backend.draining or backend.evacuated:
         return True
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -38,6 +38,7 @@
     # What an instance knows and whether it serves.
     TABLE_IN_FORCE = "routing table in force"
     EVACUATIONS_IN_FORCE = "evacuations in force"
+    EVACUATION_EXEMPT = "cut off: evacuated backend servers get work"
     READY = "ready"
     NOT_READY = "not ready"
     CONTROL_IN_SIGHT = "control instance in sight"
@@ -158,6 +159,7 @@
         Event.NOT_SPREAD: frozenset({"what", "run"}),
         Event.TABLE_IN_FORCE: frozenset({"version", "version_before", "routes"}),
         Event.EVACUATIONS_IN_FORCE: frozenset({"domains"}),
+        Event.EVACUATION_EXEMPT: frozenset({"domain"}),
         Event.READY: frozenset({"version", "backends", "controls"}),
         Event.NOT_READY: frozenset({"version", "backends", "controls"}),
         Event.CONTROL_IN_SIGHT: frozenset({"address", "failure_domain", "settled"}),
--- a/src/agatethread/registry/__init__.py
+++ b/src/agatethread/registry/__init__.py
@@ -1,6 +1,7 @@
 """Backend servers as they report themselves, told to every entry instance."""
 
 from agatethread.registry._evacuations import EvacuationPublisher, KnownEvacuations
+from agatethread.registry._following import is_cut_off, widest_place
 from agatethread.registry._hub import RegistryHub, RoutesOffer
 from agatethread.registry._link import HubLink
 from agatethread.registry._memory import Hints, KnownEntry, load_hints, save_hints
@@ -29,6 +30,8 @@
     "SightingPool",
     "Subscription",
     "decode_message",
+    "is_cut_off",
     "load_hints",
     "save_hints",
+    "widest_place",
 ]
--- a/src/agatethread/registry/_following.py
+++ b/src/agatethread/registry/_following.py
@@ -5,9 +5,10 @@
 the others: only they learn of a new routing table.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from agatethread.registry._link import HubLink
+from agatethread.registry._presence import NO_PLACE, Place
 
 #: Control instances that an entry instance follows: the loss of two is borne.
 FOLLOWED_COUNT = 3
@@ -86,6 +87,55 @@
     return next((link for link in followed if link.hears_leader), None)
 
 
+def is_cut_off(
+    links: Iterable[HubLink], live: Sequence[HubLink], failure_domain: str
+) -> bool:
+    """Tell whether the own failure domain is cut off from all others.
+
+    An instance that hears a control instance of another domain, or one that hears a
+    leader, can still be told of orders, and has to obey those that it knows.
+
+    Parameters
+    ----------
+    links : iterable of HubLink
+        All known control instances.
+    live : sequence of HubLink
+        Those that answered lately.
+    failure_domain : str
+        Of this instance.
+
+    Returns
+    -------
+    bool
+        Whether it hears control instances of its own domain only, and these are fewer
+        than half of all and hear no leader.
+    """
+    known = list(links)
+    at_home = [link for link in known if link.failure_domain == failure_domain]
+    if len(known) <= 2 * len(at_home):
+        return False
+    return bool(live) and all(
+        link.failure_domain == failure_domain and not link.hears_leader for link in live
+    )
+
+
+def widest_place(live: Iterable[HubLink]) -> Place:
+    """Find an entry instance's rank among all.
+
+    Parameters
+    ----------
+    live : iterable of HubLink
+        The control instances that answered lately.
+
+    Returns
+    -------
+    Place
+        As the one says that hears the most; `NO_PLACE` if none does.
+    """
+    places = (link.place for link in live)
+    return max(places, key=lambda place: place.count, default=NO_PLACE)
+
+
 def knows_more(link: HubLink, others: Sequence[HubLink]) -> bool:
     """Tell whether a control instance knows what none of some others can.
 
--- a/src/agatethread/registry/_link.py
+++ b/src/agatethread/registry/_link.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from agatethread.registry._presence import NO_PLACE, Place
-from agatethread.wire.registry_pb2 import DomainCounts
+from agatethread.wire.registry_pb2 import DomainCounts, HubState
 
 
 @dataclass
@@ -37,6 +37,23 @@
     #: Runs that it holds for alive: the start time of the newest by id.
     reporting: dict[str, int] = field(default_factory=dict)
 
+    def note_hub(self, state: HubState, now_s: float) -> None:
+        """Note what the control instance sees around it.
+
+        Parameters
+        ----------
+        state : HubState
+            As it said.
+        now_s : float
+            Present time.
+        """
+        self.hears_leader = state.hears_leader
+        self.routes_version = state.routes_version
+        self.place = Place(state.rank, state.entries)
+        if state.HasField("domain"):
+            self.domain = state.domain
+            self.domain_told_s = now_s
+
     def restart(self, incarnation: int) -> None:
         """Start anew, since the instance has.
 
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -18,14 +18,13 @@
     knows_more,
 )
 from agatethread.registry._link import HubLink
-from agatethread.registry._presence import NO_PLACE, DomainView, Place, merge_counts
+from agatethread.registry._presence import DomainView, merge_counts
 from agatethread.registry._report import START_NOT_TOLD
 from agatethread.wire.registry_pb2 import (
     PRESENCE_UNKNOWN,
     BackendRun,
     Delta,
     Evacuations,
-    HubState,
     Poll,
     Presence,
     RegistryMessage,
@@ -257,7 +256,7 @@
         for control in delta.controls:
             self.meet(control.address, control.failure_domain)
         if delta.HasField("hub"):
-            self._note_hub(link, delta.hub)
+            link.note_hub(delta.hub, self._now_s())
         if not delta.runs and not delta.complete:
             self._on_greeting(link)
             return
@@ -298,14 +297,6 @@
         link.settled = delta.settled
         link.failure_domain = delta.failure_domain
 
-    def _note_hub(self, link: HubLink, state: HubState) -> None:
-        link.hears_leader = state.hears_leader
-        link.routes_version = state.routes_version
-        link.place = Place(state.rank, state.entries)
-        if state.HasField("domain"):
-            link.domain = state.domain
-            link.domain_told_s = self._now_s()
-
     def _take_run(self, link: HubLink, run: BackendRun) -> None:
         if run.ended or run.silent:
             link.reporting.pop(run.id, None)
@@ -382,17 +373,6 @@
         links = [link for link in self.links.values() if link.domain_told_s >= since_s]
         return merge_counts(link.domain for link in links)
 
-    def place(self) -> Place:
-        """Tell this entry instance's rank among all.
-
-        Returns
-        -------
-        Place
-            As the one says that hears the most; `NO_PLACE` if none does.
-        """
-        places = [link.place for link in self.live()]
-        return max(places, key=lambda place: place.count, default=NO_PLACE)
-
     def is_reporting(self, run_id: str, started_ms: int = START_NOT_TOLD) -> bool:
         """Tell whether a run may be alive, as far as those in sight know.
 
--- a/src/agatethread/settings/_policies.py
+++ b/src/agatethread/settings/_policies.py
@@ -57,6 +57,10 @@
     #: to know of it; 0: it is given as soon as the log holds the order. Operators wait
     #: for a second for an answer, and agreeing takes some 10 ms.
     evacuation_wait_s: float = _threshold(0.4, 0.0, 0.0, 0.8)
+    #: Whether an entry instance whose failure domain is cut off from all others gives
+    #: work to its own domain's backend servers though the domain is evacuated: they
+    #: are the only ones that its callers reach. Else it refuses until the cut heals.
+    serves_evacuated_when_cut_off: bool = _switch()
     #: Longest wait of a stopping entry instance for those of its failure domain that
     #: restart at the moment; 0: it goes at once. An instance has to be out of the
     #: routers' choice 4 s after it was told to stop, they need a second to notice, and
--- a/tests/control/test_routing_control.py
+++ b/tests/control/test_routing_control.py
@@ -250,6 +250,9 @@
         fleet = await self.start_fleet()
         await fleet.put(document(1))
         await fleet.evacuate("hall-a")
+        for version in range(2, 16):
+            # More than are kept before a snapshot takes their place.
+            await fleet.put(document(version))
         leader = next(
             number
             for number, one in fleet.running.items()
--- a/tests/datapath/test_evacuations.py
+++ b/tests/datapath/test_evacuations.py
@@ -51,6 +51,27 @@
         self.view.take_evacuations(frozenset({"a", "b"}))
         self.assertEqual(self.handle(opening(8)), [("reset", 8)])
 
+    def test_domain_that_is_cut_off_serves_itself(self):
+        """Its callers reach nobody else; with the cut the exemption ends."""
+        self.view.take_evacuations(frozenset({"a", "b"}))
+        self.view.exempt("a")
+        self.view.take(run(4, failure_domain="a"))
+        self.assertEqual(self.place(), {1, 2, 4})
+        self.view.exempt("")
+        self.assertEqual(self.handle(opening(70)), [("reset", 70)])
+
+    def test_answers_of_other_domains_are_noticed(self):
+        """While they answer, an evacuated domain need not serve itself."""
+        self.clock.value_s += 10.0
+        self.handle(opening(7))
+        self.view.take_evacuations(frozenset({"a"}))
+        self.handle(opening(8))
+        self.clock.value_s += 0.1
+        self.assertFalse(self.view.is_answered_outside("a", 5.0))
+        self.handle(packet(8, number=3))
+        self.assertTrue(self.view.is_answered_outside("a", 5.0))
+        self.assertFalse(self.view.is_answered_outside("b", 5.0))
+
     def test_domain_that_is_readmitted_gets_work(self):
         """The way back needs no news of the runs."""
         self.view.take_evacuations(frozenset({"a"}))
