--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -175,6 +175,9 @@
         node.subscribe(lambda: self._offer(node))
         self._offer(node)
         module = await asyncio.to_thread(importlib.import_module, _LOG_PORT_MODULE)
+        if self.should_stop:
+            # `on_stop` has been; a server that starts now would never be stopped.
+            return
         self._log_port = port = module.LogPort(self.settings)
         self._keeper = self._make_keeper(node, port)
         target = listen_address(self.settings.target, self.settings.listen_host)
--- a/tests/control/test_policies.py
+++ b/tests/control/test_policies.py
@@ -1,3 +1,4 @@
+import asyncio
 import tempfile
 import unittest
 from dataclasses import replace
@@ -62,3 +63,21 @@
         control, greeted, calls = await self.start("asks_urgently")
         self.assertEqual(greeted, [KnownEntry(address(9), "a")])
         self.assertNotIn(control.subscription.knock_urgently, calls)
+
+    async def test_stop_while_the_log_port_is_loaded(self):
+        """Nothing listens after a stop that came before the port was there."""
+        control = RoutingControl(replace(self.settings, seeds=()), Counters())
+        load = asyncio.to_thread
+
+        async def load_until_stopped(*arguments):
+            module = await load(*arguments)
+            control._stopped.set()
+            await control.on_stop()
+            return module
+
+        with mock.patch("asyncio.to_thread", load_until_stopped):
+            await control._open_log()
+        port, control._log_port = control._log_port, None
+        if port is not None:
+            await port.close()
+        self.assertIsNone(port)
