--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -71,7 +71,8 @@
 
     def test_every_command_shows_an_example(self):
         """``--help`` of each command has an example."""
-        for command in ("apply", "get", "status", "drain", "dump", "check"):
+        commands = ("apply", "get", "status", "drain", "dump", "check")
+        for command in (*commands, "evacuate", "readmit"):
             code, output, _ = run(run_ctl, command, "--help")
             self.assertEqual(code, 0)
             self.assertIn("example: agatethreadctl", output)
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -81,6 +81,33 @@
         self.assertEqual(seen["requests_unknown"], 0)
 
 
+class TestEvacuation(FleetCase):
+    def test_evacuated_domain_gets_no_new_work(self):
+        """A failure domain is emptied and filled again, and no caller notices."""
+        inside = [
+            name
+            for name in self.fleet.names("backend")
+            if self.fleet.nodes[name].failure_domain == "north"
+        ]
+
+        def newest_s():
+            times = [self.fleet.command(name)["last_new_work_s"] for name in inside]
+            return max(times)
+
+        code, _, errors = self.fleet.ctl("evacuate", "north", "--wait-s", "5")
+        self.assertEqual(code, 0, errors)
+        in_force_s = time.time()
+        time.sleep(3)
+        self.assertLess(newest_s(), in_force_s + 1.0)
+        _, output, _ = self.fleet.ctl("--json", "status")
+        self.assertEqual(json.loads(output)["evacuated"], ["north"])
+        self.assertEqual(self.fleet.ctl("readmit", "north", "--wait-s", "5")[0], 0)
+        readmitted_s = time.time()
+        self.fleet.wait_for(lambda: newest_s() > readmitted_s, "new work", 5.0)
+        seen = self.finish()
+        self.assertEqual(seen["requests_unknown"], 0)
+
+
 class TestDeaths(FleetCase):
     def test_second_death_just_after_the_repair(self):
         """Two dispatchers killed one after the other break no flow."""
