--- a/src/agatethread/control/_orders.py
+++ b/src/agatethread/control/_orders.py
@@ -21,6 +21,8 @@
 _CHANGE_LIMIT_S = 2.5
 #: A read that can't be confirmed by then is refused; its sender waits for a second.
 _READ_LIMIT_S = 0.8
+#: Nor does the sender of an order wait for longer.
+_ANSWER_LIMIT_S = 0.8
 
 log = make_logger("control")
 
@@ -186,8 +188,9 @@
             raise ChangeRefusedError(outcome.error)
         agreed_s = self._now_s()
         version = node.documents.evacuations.version
+        left_s = _ANSWER_LIMIT_S - (agreed_s - started_s)
         everywhere = await self._evacuations.wait_until_known(
-            version, self._evacuation_wait_s
+            version, max(0.0, min(self._evacuation_wait_s, left_s))
         )
         log.info(
             Event.EVACUATION_AGREED,
