--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -1,4 +1,4 @@
-"""Plays days with each policy off in turn, to find what each is worth.
+"""Plays days with policies off or at other values, to find what each is worth.
 
 The command that plays a day is given, with ``{site}``, ``{day}``, ``{seed}``,
 ``{policies}`` (path of the file of policies to play with) and ``{slot}`` (number of the
@@ -118,8 +118,8 @@
     Parameters
     ----------
     variant : str
-        `ALL_ON`, also with a number, or names of the policies that are off, joined by
-        ``+``.
+        `ALL_ON`, also with a number, or what differs, joined by ``+``: names of the
+        policies that are off, and ``NAME=VALUE`` for other values.
 
     Returns
     -------
@@ -130,12 +130,19 @@
     ------
     KeyError
         If there is no policy of a name.
+    SettingsError
+        If one can't have the value.
     """
     policies = DEFAULT_POLICIES
     if variant.startswith(ALL_ON):
         return policies
-    for name in variant.split("+"):
-        policies = switch_off(policies, name)
+    for change in variant.split("+"):
+        name, is_given, value = change.partition("=")
+        if not is_given:
+            policies = switch_off(policies, name)
+            continue
+        text = json.dumps(asdict(policies) | {name: json.loads(value)})
+        policies = structure_checked(variant, text, Policies, SettingsError)
     return policies
 
 
@@ -274,7 +281,8 @@
         "--off",
         nargs="*",
         default=[one.name for one in policy_fields()],
-        help="policies to switch off, each in turn; NAME+NAME for two together",
+        help="what differs, each in turn: a policy to switch off, or NAME=VALUE; "
+        "joined by + for two together",
     )
     parser.add_argument(
         "--repeats", type=int, default=3, help="plays with all policies on"
@@ -287,6 +295,8 @@
             policies_of(variant)
         except KeyError as error:
             parser.error(f"no policy {error}")
+        except (SettingsError, ValueError) as error:
+            parser.error(f"{variant}: {error}")
     again = [f"{ALL_ON} {number}" for number in range(2, options.repeats + 1)]
     variants = [ALL_ON, *again, *options.off]
     plays = plan(variants, options.sites, options.days, options.seeds)
--- a/tests/benchmarks/test_ablation.py
+++ b/tests/benchmarks/test_ablation.py
@@ -5,6 +5,7 @@
 import unittest
 from pathlib import Path
 
+from agatethread.exceptions import SettingsError
 from agatethread.settings import DEFAULT_POLICIES, switch_off
 from benchmarks.ablation import (
     ALL_ON,
@@ -109,6 +110,18 @@
         both = switch_off(switch_off(DEFAULT_POLICIES, "keeps_hints"), "cold_factor")
         self.assertEqual(policies_of("keeps_hints+cold_factor"), both)
         self.assertEqual(policies_of(ALL_ON), DEFAULT_POLICIES)
+
+    def test_policies_may_have_other_values(self):
+        """A way is named by what differs; what no policy can have is refused."""
+        found = policies_of("domain_preference_count=4+keeps_hints")
+        self.assertEqual(found.domain_preference_count, 4.0)
+        self.assertFalse(found.keeps_hints)
+        for wrong in ("domain_preference_count=-1", "keeps_hints=3", "colour=1"):
+            with self.subTest(variant=wrong), self.assertRaises(SettingsError):
+                policies_of(wrong)
+
+    def test_no_such_policy(self):
+        """A misspelt name is no variant."""
         with self.assertRaises(KeyError):
             policies_of("colour")
 
