--- a/src/agatethread/entry/_requests.py
+++ b/src/agatethread/entry/_requests.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from agatethread.entry._documents import DocumentBook
+from agatethread.entry._fragments import ask_for_missing
 from agatethread.exceptions import DatagramError, TransferLimitError
 from agatethread.membership import MemberTable
 from agatethread.observability import Counters
@@ -254,21 +255,6 @@
             return
         self._relay_reply(label.owner, data, b"")
 
-    def _ask_for_missing(self) -> None:
-        for partial, indices in self._assembler.take_quiet():
-            first = partial.first
-            request = Envelope(
-                kind=Kind.MISSING,
-                service=first.service,
-                operation_id=first.operation_id,
-                attempt=first.attempt,
-                missing=indices,
-            ).SerializeToString()
-            if first.kind == Kind.REQUEST:
-                self._ports.send_caller(partial.source, request)
-            else:
-                self._ports.send_backend(partial.source, request)
-
     def _deadline_s(self, envelope: Envelope) -> float:
         document = self._book.documents.get(envelope.service)
         limit_ms = document.deadline_limit_ms if document else _DEFAULT_LIMIT_MS
@@ -406,6 +392,6 @@
         """Do what is due: give out slots, decide for dead owners, expire records."""
         for queue in self._queues.values():
             queue.pump()
-        self._ask_for_missing()
+        ask_for_missing(self._assembler, self._ports)
         self.claims.sweep()
         self.owner.expire()
