--- a/soak/backend.py
+++ b/soak/backend.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from agatethread.settings import parse_address
 from soak.addresses import Addresses
@@ -24,6 +24,9 @@
 #: A drain is acknowledged; from then on so long at most new flows may still come.
 DRAIN_BOUND_S = 3.0
 
+#: The same for an evacuation.
+EVACUATION_BOUND_S = 2.0
+
 FlowKey = tuple[tuple[int, int], tuple[int, int]]
 
 
@@ -42,6 +45,8 @@
         Lists addresses of control instances.
     allowed : callable
         Tells whether a service was ever allowed a destination.
+    evacuated_s : mapping of str to float
+        When an evacuation was acknowledged, by failure domain.
     promises : Promises
         Told of breaches.
     """
@@ -53,9 +58,12 @@
         addresses: Addresses,
         control: Callable[[], list[str]],
         allowed: Callable[[str, tuple[int, int]], bool],
+        evacuated_s: Mapping[str, float],
         promises: Promises,
     ):
         self.number = number
+        self.failure_domain = f"domain-{number % 3}"
+        self._evacuated_s = evacuated_s
         self.service = service
         self._addresses = addresses
         self._control = control
@@ -127,7 +135,7 @@
         return {
             "service": self.service,
             "address": self._address,
-            "zone": f"domain-{self.number % 3}",
+            "zone": self.failure_domain,
             "version": "v1",
             "capacity": 2,
             "state": "draining" if self.draining else "ready",
@@ -182,10 +190,20 @@
                 "no new flow after a drain is known",
                 f"{self.run_id} {late_s:.1f} s late",
             )
+        self._check_evacuation(key)
         self._flows.setdefault(key, secrets.randbits(31))
         self.taken_count += 1
         self._answer(segment, SYN | ACK, b"")
 
+    def _check_evacuation(self, key: FlowKey) -> None:
+        ordered_s = self._evacuated_s.get(self.failure_domain, float("inf"))
+        late_s = self._promises.now_s() - ordered_s - EVACUATION_BOUND_S
+        if late_s > 0 and key not in self._flows and self._promises.is_calm():
+            self._promises.broken(
+                "no new flow in an evacuated domain",
+                f"{self.run_id} in {self.failure_domain} {late_s:.1f} s late",
+            )
+
     def _serve(self, segment: Segment) -> None:
         key = (segment.source, segment.target)
         if key not in self._flows:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,8 @@
 
 #: Planned work, which disturbs no promise.
 _PLANNED = {"replace a server", "race changes", "resend a change"}
+#: Failure domains that can be evacuated: the third has all servers of a service.
+_EMPTIED_DOMAINS = ("domain-1", "domain-2")
 #: A restart by a supervisor that does not wait.
 _AT_ONCE_S = 0.05
 #: Fields of reports that no server sends; an empty text leaves the field out.
@@ -71,6 +73,7 @@
         self._random = random.Random(seed)
         #: Draws of its own, so that seeds still draw the faults that they drew.
         self._restarts = random.Random(f"restarts {seed}")
+        self._evacuations = random.Random(f"evacuations {seed}")
         self._disk_lost_s = float("-inf")
         self.counts: dict[str, int] = {}
         self._faults: dict[str, Fault] = {
@@ -234,6 +237,15 @@
         for fields in _FOREIGN:
             await server.send_foreign(**fields)
 
+    async def evacuate(self) -> None:
+        """Evacuate a failure domain and readmit it: planned work."""
+        domain = self._evacuations.choice(_EMPTIED_DOMAINS)
+        for_s = self._evacuations.uniform(0.0, 8.0)
+        self.counts["evacuate"] = self.counts.get("evacuate", 0) + 1
+        await self._operator.evacuate(domain)
+        await asyncio.sleep(for_s)
+        await self._operator.readmit(domain)
+
     async def _replace_server(self) -> None:
         server = self._random.choice(self._servers)
         if not server.alive or server.draining:
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -45,6 +45,8 @@
         self.acknowledged = 0
         self.change_count = 0
         self.read_count = 0
+        #: When an evacuation was acknowledged, by failure domain.
+        self.evacuated_s: dict[str, float] = {}
 
     def targets(self) -> dict[Target, str]:
         """List the destinations that every version has."""
@@ -133,6 +135,35 @@
                 return False
         return False
 
+    # -- evacuations --------------------------------------------------------------
+
+    async def evacuate(self, domain: str) -> bool:
+        """Ask for an evacuation until it is acknowledged."""
+        if not await self._order("POST", domain):
+            return False
+        self.evacuated_s[domain] = self._promises.now_s()
+        return True
+
+    async def readmit(self, domain: str) -> None:
+        """Take an evacuation back, however long that takes."""
+        self.evacuated_s.pop(domain, None)
+        while not await self._order("DELETE", domain):
+            continue
+
+    async def _order(self, method: str, domain: str) -> bool:
+        until_s = self._promises.now_s() + _GIVE_UP_S
+        while self._promises.now_s() < until_s:
+            for address in self._control():
+                reply = await call(address, method, f"/api/evacuation/{domain}")
+                if reply.status == 200:
+                    return True
+                if 400 <= reply.status < 500:
+                    detail = f"{method} {domain}: {reply.status}"
+                    self._promises.broken("a valid order is never refused", detail)
+                    return False
+            await asyncio.sleep(0.1)
+        return False
+
     # -- reads --------------------------------------------------------------------
 
     async def run_reads(self) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -89,6 +89,7 @@
                 addresses,
                 self._control,
                 self.operator.allows,
+                self.operator.evacuated_s,
                 self.promises,
             )
             for number in range(1, size.server_count + 1)
@@ -176,7 +177,10 @@
         self.report.rounds += 1
         series = [self._play_series() for _ in range(self._random.choice((1, 1, 2, 3)))]
         await asyncio.gather(
-            *series, self._change_meanwhile(), self.faults.send_foreign()
+            *series,
+            self._change_meanwhile(),
+            self.faults.send_foreign(),
+            self.faults.evacuate(),
         )
         await asyncio.sleep(_RECOVERY_S)
         await self._check_calm()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -87,8 +87,15 @@
         operator = Operator(list, self.promises, 1)
         addresses = draw_addresses(7)
         self.addCleanup(addresses.claim.close)
+        self.evacuated_s = operator.evacuated_s
         self.server = BackendServer(
-            200, "alpha", addresses, list, operator.allows, self.promises
+            200,
+            "alpha",
+            addresses,
+            list,
+            operator.allows,
+            self.evacuated_s,
+            self.promises,
         )
         await self.server.start()
         self.addCleanup(self.server.crash)
@@ -110,6 +117,14 @@
         self.server.drain_known_s = self.promises.now_s() - 10
         self.assertEqual(self.take(ALPHA), ["no new flow after a drain is known"])
 
+    async def test_late_opening_in_an_evacuated_domain_is_a_breach(self):
+        """A new flow comes long after its evacuation was acknowledged, in calm."""
+        self.evacuated_s["another domain"] = self.promises.now_s() - 10
+        self.assertEqual(self.take(ALPHA), [])
+        self.server._flows.clear()
+        self.evacuated_s[self.server.failure_domain] = self.promises.now_s() - 10
+        self.assertEqual(self.take(ALPHA), ["no new flow in an evacuated domain"])
+
     async def test_late_opening_is_not_judged_among_faults(self):
         """While something is disturbed, the bound does not hold."""
         self.server.drain_known_s = self.promises.now_s() - 10
