--- a/soak/faults.py
+++ b/soak/faults.py
@@ -237,14 +237,13 @@
         for fields in _FOREIGN:
             await server.send_foreign(**fields)
 
-    async def evacuate(self) -> None:
-        """Evacuate a failure domain and readmit it: planned work."""
+    async def evacuate(self) -> str:
+        """Evacuate a failure domain, which is planned work; return its name."""
         domain = self._evacuations.choice(_EMPTIED_DOMAINS)
-        for_s = self._evacuations.uniform(0.0, 8.0)
         self.counts["evacuate"] = self.counts.get("evacuate", 0) + 1
+        await asyncio.sleep(self._evacuations.uniform(0.0, 2.0))
         await self._operator.evacuate(domain)
-        await asyncio.sleep(for_s)
-        await self._operator.readmit(domain)
+        return domain
 
     async def _replace_server(self) -> None:
         server = self._random.choice(self._servers)
--- a/soak/run.py
+++ b/soak/run.py
@@ -176,14 +176,16 @@
     async def _play_round(self) -> None:
         self.report.rounds += 1
         series = [self._play_series() for _ in range(self._random.choice((1, 1, 2, 3)))]
-        await asyncio.gather(
+        domain, *_ = await asyncio.gather(
+            self.faults.evacuate(),
             *series,
             self._change_meanwhile(),
             self.faults.send_foreign(),
-            self.faults.evacuate(),
         )
         await asyncio.sleep(_RECOVERY_S)
+        # Still evacuated: only in calm a late flow is a breach.
         await self._check_calm()
+        await self.operator.readmit(domain)
 
     async def _play_series(self) -> None:
         for _ in range(self._random.choice((1, 2, 3))):
