--- a/src/agatethread/cli/_story.py
+++ b/src/agatethread/cli/_story.py
@@ -291,7 +291,12 @@
             run = ends[0].fields.get("run")
             return ends[0], f"reset: its run {run} had ended ({reason})"
     if why == "no_backend":
-        return reset, "reset: no backend server of its service could take a new flow"
+        cause = "reset: no backend server of its service could take a new flow"
+        order = _last_before(all_lines, reset, Event.EVACUATIONS_IN_FORCE)
+        domains = order.fields.get("domains") if order else []
+        if not domains:
+            return reset, cause
+        return order, f"{cause}; evacuated: {', '.join(domains)}"
     return reset, f"reset: {why}"
 
 
@@ -302,6 +307,9 @@
         age_s = drop.time_s - started.time_s
         cause = f"dropped: {why}; {drop.instance} had started {age_s:.1f} s before"
         return started, cause
+    if why == "backends_cold":
+        cause = "dropped: all backend servers of its service had just started"
+        return drop, f"{cause}, and a cold one bears little"
     return drop, f"dropped: {why}"
 
 
--- a/tests/cli/test_story.py
+++ b/tests/cli/test_story.py
@@ -71,6 +71,24 @@
         self.assertEqual(story.deciding.event, Event.FLOW_RESET)
         self.assertIn("could take", story.cause)
 
+    def test_refused_opening_while_domains_are_evacuated(self):
+        """The newest order that the instance knew of decides."""
+        orders = [
+            line(at_s, Event.EVACUATIONS_IN_FORCE, domains=domains)
+            for at_s, domains in ((0.5, ["a"]), (1.5, ["a", "b"]), (3.0, []))
+        ]
+        story = tell(placed(1.0), reset(2.0, "no_backend"), *orders)
+        self.assertEqual(story.deciding.fields["domains"], ["a", "b"])
+        self.assertIn("evacuated: a, b", story.cause)
+        story = tell(placed(1.0), reset(4.0, "no_backend"), *orders)
+        self.assertEqual(story.deciding.event, Event.FLOW_RESET)
+
+    def test_opening_that_only_cold_servers_could_take(self):
+        """It was dropped so that its copy may find a warm one."""
+        drop = {"flow": FLOW, "label": 0, "table_version": 5}
+        story = tell(line(1.0, Event.PACKET_DROPPED, why="backends_cold", **drop))
+        self.assertIn("had just started", story.cause)
+
     def test_run_that_fell_silent(self):
         """A placement on a run that stopped answering is explained by that."""
         story = tell(
