--- a/src/agatethread/datapath/_cold.py
+++ b/src/agatethread/datapath/_cold.py
@@ -15,7 +15,7 @@
 from collections.abc import Mapping
 
 from agatethread.datapath._backend import Backend
-from agatethread.registry import NO_PLACE, Place
+from agatethread.registry import NO_RANK, EntryRank
 
 #: Parts of a fleet that may give out a server's whole limit at a time: two halves of a
 #: cut, and the instances of which one rank has passed to another.
@@ -26,7 +26,7 @@
 _OVERTAKING_S = 0.2
 
 
-def count_share(limit_per_s: float, number: int, place: Place) -> int:
+def count_share(limit_per_s: float, number: int, rank: EntryRank) -> int:
     """Count the new flows that this instance may send a cold server in any second.
 
     Parameters
@@ -35,7 +35,7 @@
         What the server may get from all instances in any second.
     number : int
         The server's number, alike on all instances.
-    place : Place
+    rank : EntryRank
         This instance's rank among all.
 
     Returns
@@ -44,12 +44,12 @@
         0 where other instances have it all.
     """
     shared = int(limit_per_s / _SHARES)
-    if not shared or not place.count:
+    if not shared or not rank.count:
         return 0
-    distance = (place.rank - number) % place.count
+    distance = (rank.position - number) % rank.count
     if distance >= shared:
         return 0
-    return max(1, shared // place.count)
+    return max(1, shared // rank.count)
 
 
 class ColdLimits:
@@ -70,7 +70,7 @@
         #: Requests a second that a cold server of a service bears, where it is told.
         self.rates_per_s: Mapping[str, float] = {}
         #: This instance's rank among all, as control instances told it.
-        self.place = NO_PLACE
+        self.rank = NO_RANK
 
     def spares(self, backend: Backend, now_s: float) -> bool:
         """Tell whether a server gets no new flow while a warm one can take it.
@@ -95,7 +95,7 @@
         Parameters
         ----------
         backend : Backend
-            One that is spared.
+            One that is spared; a warm one was asked for before.
         now_s : float
             Present time.
 
@@ -104,9 +104,11 @@
         bool
             Whether it keeps to its share with it.
         """
+        if not self.spares(backend, now_s):
+            return False
         rate_per_s = self.rates_per_s[backend.service]
         limit_per_s = rate_per_s * self._overshoot + self._slack_per_s
-        share = count_share(limit_per_s, backend.number, self.place)
+        share = count_share(limit_per_s, backend.number, self.rank)
         given = self._given.get(backend, ())
         oldest_s = now_s - _WINDOW_S - _OVERTAKING_S
         return sum(1 for at_s in given if at_s > oldest_s) < share
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -7,6 +7,7 @@
 
 import random
 from collections.abc import Callable
+from math import inf
 
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._backends import BackendView
@@ -41,6 +42,10 @@
 #: A pause in which this instance can't have run: its timers call it each 0.2 s.
 _PAUSE_S = 1.0
 
+#: A cold backend server that is warm by then is waited for: copies of an opening and
+#: of the try that follows it come within twice 1.4 s.
+_WORTH_WAITING_S = 2.8
+
 log = make_logger("forwarder")
 
 
@@ -175,16 +180,17 @@
             self._counters["openings_again"] += 1
 
     def _answer_unplaced(self, packet: Packet, route: Route, now_s: float) -> None:
-        """Refuse an opening that nobody will take; leave others to their copies."""
+        """Refuse an opening that nobody will take in time; leave others to copies."""
         if not self._knows_all():
             self._drop(packet, "no_backend_known")
             return
-        warming = any(
-            may_take_work(backend)
+        warm_s = [
+            backend.warm_s
             for target in route.targets
             for backend in self._view.of_service(target.service)
-        )
-        if warming:
+            if may_take_work(backend) and self._cold.spares(backend, now_s)
+        ]
+        if min(warm_s, default=inf) <= now_s + _WORTH_WAITING_S:
             # Refused it would come back within milliseconds, and be refused again.
             self._drop(packet, "backends_cold")
         else:
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -19,7 +19,7 @@
     RegistryTransport,
     Subscription,
     is_cut_off,
-    widest_place,
+    widest_rank,
 )
 from agatethread.routing import decode_table
 from agatethread.settings import (
@@ -242,7 +242,7 @@
     def _judge(self) -> None:
         self.forwarder.tick()
         self.view.judge(self.subscription.is_reporting)
-        self._cold.place = widest_place(self.subscription.live())
+        self._cold.rank = widest_rank(self.subscription.live())
         if self._settings.policies.serves_evacuated_when_cut_off:
             self.view.exempt(
                 self._settings.failure_domain if self._is_cut_off() else ""
--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -193,20 +193,17 @@
     if not policies.uses_other_services:
         services = services[:1]
 
-    def is_spared(backend: Backend) -> bool:
-        return cold.spares(backend, now_s)
-
-    for may_take in (
-        lambda backend: may_take_work(backend) and not is_spared(backend),
-        lambda backend: (
-            may_take_work(backend)
-            and is_spared(backend)
-            and cold.permits(backend, now_s)
-        ),
-        lambda backend: (
-            may_be_alive(backend, now_s, policies) and not is_spared(backend)
-        ),
-    ):
+    def is_warm(backend: Backend) -> bool:
+        return may_take_work(backend) and not cold.spares(backend, now_s)
+
+    def has_share_left(backend: Backend) -> bool:
+        return may_take_work(backend) and cold.permits(backend, now_s)
+
+    def is_out_of_sight(backend: Backend) -> bool:
+        alive = may_be_alive(backend, now_s, policies)
+        return alive and not cold.spares(backend, now_s)
+
+    for may_take in (is_warm, has_share_left, is_out_of_sight):
         for service in services:
             backend = choose_backend(
                 runs_of(service), failure_domain, now_s, tried, may_take, policies
--- a/src/agatethread/registry/__init__.py
+++ b/src/agatethread/registry/__init__.py
@@ -1,11 +1,11 @@
 """Backend servers as they report themselves, told to every entry instance."""
 
 from agatethread.registry._evacuations import EvacuationPublisher, KnownEvacuations
-from agatethread.registry._following import is_cut_off, widest_place
+from agatethread.registry._following import is_cut_off, widest_rank
 from agatethread.registry._hub import RegistryHub, RoutesOffer
 from agatethread.registry._link import HubLink
 from agatethread.registry._memory import Hints, KnownEntry, load_hints, save_hints
-from agatethread.registry._presence import NO_PLACE, DomainView, Place
+from agatethread.registry._presence import NO_RANK, DomainView, EntryRank
 from agatethread.registry._report import START_NOT_TOLD, Report
 from agatethread.registry._runs import RunTable
 from agatethread.registry._sightings import SightingPool
@@ -13,7 +13,7 @@
 from agatethread.registry._transport import RegistryTransport, decode_message
 
 __all__ = [
-    "NO_PLACE",
+    "NO_RANK",
     "START_NOT_TOLD",
     "DomainView",
     "EvacuationPublisher",
@@ -21,7 +21,7 @@
     "HubLink",
     "KnownEntry",
     "KnownEvacuations",
-    "Place",
+    "EntryRank",
     "RegistryHub",
     "RegistryTransport",
     "Report",
@@ -33,5 +33,5 @@
     "is_cut_off",
     "load_hints",
     "save_hints",
-    "widest_place",
+    "widest_rank",
 ]
--- a/src/agatethread/registry/_following.py
+++ b/src/agatethread/registry/_following.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Sequence
 
 from agatethread.registry._link import HubLink
-from agatethread.registry._presence import NO_PLACE, Place
+from agatethread.registry._presence import NO_RANK, EntryRank
 
 #: Control instances that an entry instance follows: the loss of two is borne.
 FOLLOWED_COUNT = 3
@@ -119,7 +119,7 @@
     )
 
 
-def widest_place(live: Iterable[HubLink]) -> Place:
+def widest_rank(live: Iterable[HubLink]) -> EntryRank:
     """Find an entry instance's rank among all.
 
     Parameters
@@ -129,11 +129,11 @@
 
     Returns
     -------
-    Place
-        As the one says that hears the most; `NO_PLACE` if none does.
+    EntryRank
+        As the one says that hears the most; `NO_RANK` if none does.
     """
-    places = (link.place for link in live)
-    return max(places, key=lambda place: place.count, default=NO_PLACE)
+    ranks = (link.rank for link in live)
+    return max(ranks, key=lambda rank: rank.count, default=NO_RANK)
 
 
 def knows_more(link: HubLink, others: Sequence[HubLink]) -> bool:
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -6,7 +6,12 @@
 
 from agatethread.registry._chunks import MESSAGE_BYTES, RoutesOffer, split_routes
 from agatethread.registry._memory import KnownEntry
-from agatethread.registry._presence import NO_PLACE, Place, count_domain, rank_entries
+from agatethread.registry._presence import (
+    NO_RANK,
+    EntryRank,
+    count_domain,
+    rank_entries,
+)
 from agatethread.registry._runs import RunTable
 from agatethread.registry._sightings import SightingPool
 from agatethread.registry._subscribers import Subscriber, describe, list_controls
@@ -86,7 +91,7 @@
         #: What entry instances were sent that have not asked yet.
         self._expected: dict[bytes, Subscriber] = {}
         self._sightings = SightingPool()
-        self._places: dict[bytes, Place] = {}
+        self._ranks: dict[bytes, EntryRank] = {}
 
     def offer_routes(self, offer: RoutesOffer) -> None:
         """Send a routing table to everyone who has an older one.
@@ -211,7 +216,7 @@
                 prepared[key] = self._deltas_after(*key)
             self._send_changes(prepared[key], subscriber, address)
             self._send_routes(subscriber, address)
-        self._places = rank_entries(address for address, _ in self.entries_in_sight())
+        self._ranks = rank_entries(address for address, _ in self.entries_in_sight())
         self._settle_waiting()
 
     def _unsent_after(self, subscriber: Subscriber) -> int:
@@ -227,9 +232,9 @@
             messages = [self._delta(after, [], after)]
             messages[-1].delta.complete = True
         self._add_reply(messages[-1].delta)
-        place = self._places.get(address, NO_PLACE)
-        messages[-1].delta.hub.entries = place.count
-        messages[-1].delta.hub.rank = place.rank
+        rank = self._ranks.get(address, NO_RANK)
+        messages[-1].delta.hub.entries = rank.count
+        messages[-1].delta.hub.rank = rank.position
         if subscriber.presence == PRESENCE_LEAVING:
             # Only then it is asked for; counting costs a look at every subscriber.
             counts = count_domain(self._subscribers, address, self._now_s())
--- a/src/agatethread/registry/_link.py
+++ b/src/agatethread/registry/_link.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from agatethread.registry._presence import NO_PLACE, Place
+from agatethread.registry._presence import NO_RANK, EntryRank
 from agatethread.wire.registry_pb2 import DomainCounts, HubState
 
 
@@ -28,7 +28,7 @@
     #: Its newest agreed routing table, as it said last.
     routes_version: int = 0
     #: This instance's rank among the entry instances that it hears.
-    place: Place = NO_PLACE
+    rank: EntryRank = NO_RANK
     #: What it said of this instance's failure domain, and when.
     domain: DomainCounts | None = None
     domain_told_s: float = float("-inf")
@@ -49,7 +49,7 @@
         """
         self.hears_leader = state.hears_leader
         self.routes_version = state.routes_version
-        self.place = Place(state.rank, state.entries)
+        self.rank = EntryRank(state.rank, state.entries)
         if state.HasField("domain"):
             self.domain = state.domain
             self.domain_told_s = now_s
--- a/src/agatethread/registry/_presence.py
+++ b/src/agatethread/registry/_presence.py
@@ -44,18 +44,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class EntryRank:
     """An entry instance's rank among all that a control instance hears."""
 
-    rank: int
+    position: int
     count: int
 
 
 #: Nobody has told it yet.
-NO_PLACE = Place(0, 0)
+NO_RANK = EntryRank(0, 0)
 
 
-def rank_entries(addresses: Iterable[bytes]) -> dict[bytes, Place]:
+def rank_entries(addresses: Iterable[bytes]) -> dict[bytes, EntryRank]:
     """Rank entry instances; all that know the same ones rank them alike.
 
     Parameters
@@ -65,11 +65,14 @@
 
     Returns
     -------
-    dict of bytes to Place
+    dict of bytes to EntryRank
         By address.
     """
     ordered = sorted(addresses)
-    return {address: Place(rank, len(ordered)) for rank, address in enumerate(ordered)}
+    return {
+        address: EntryRank(position, len(ordered))
+        for position, address in enumerate(ordered)
+    }
 
 
 def count_domain(
--- a/tests/datapath/test_cold.py
+++ b/tests/datapath/test_cold.py
@@ -7,7 +7,7 @@
 from agatethread.datapath import Backend
 from agatethread.datapath._cold import ColdLimits, count_share
 from agatethread.datapath._placing import place_flow
-from agatethread.registry import Place
+from agatethread.registry import EntryRank
 from agatethread.routing import RouteTable
 from tests.datapath.worlds import ForwarderCase, opening, run, table
 
@@ -24,7 +24,7 @@
     def test_all_shares_together_keep_to_the_limit(self, limit_per_s, number, counts):
         """Also where each of three parts of a fleet takes itself for the whole."""
         given_out = sum(
-            count_share(limit_per_s, number, Place(rank, count))
+            count_share(limit_per_s, number, EntryRank(rank, count))
             for count in counts
             for rank in range(count)
         )
@@ -34,7 +34,9 @@
         """The instances that may send to one server are not those of another."""
         holders = {
             number: [
-                rank for rank in range(70) if count_share(5.0, number, Place(rank, 70))
+                rank
+                for rank in range(70)
+                if count_share(5.0, number, EntryRank(rank, 70))
             ]
             for number in range(60)
         }
@@ -43,7 +45,7 @@
 
     def test_without_a_rank_nothing_is_given(self):
         """An instance that hears no control instance may be one of any number."""
-        self.assertEqual(count_share(100.0, 1, Place(0, 0)), 0)
+        self.assertEqual(count_share(100.0, 1, EntryRank(0, 0)), 0)
 
 
 class Instance:
@@ -51,7 +53,7 @@
 
     def __init__(self, rank, count, backend_count, cold_count, limit):
         self.cold = ColdLimits(OVERSHOOT, SLACK_PER_S)
-        self.cold.place = Place(rank, count)
+        self.cold.rank = EntryRank(rank, count)
         self.cold.rates_per_s = {"tab": limit}
         self.backends = [Backend(run(nth)) for nth in range(1, backend_count + 1)]
         for backend in self.backends[:cold_count]:
@@ -132,6 +134,13 @@
         self.clock.value_s += 2.1
         self.assertEqual(self.handle(opening(copy=1)), [("forward", 1)])
 
+    def test_opening_does_not_wait_for_a_server_that_is_cold_for_long(self):
+        """No copy of it would come in time, so its caller is told at once."""
+        self.view.take(run(1, sequence=2, warm_up_ms=10_000))
+        self.assertEqual(self.handle(opening()), [("reset", 1)])
+        self.clock.value_s += 8.0
+        self.assertEqual(self.handle(opening()), [])
+
     def test_warm_server_takes_what_there_is(self):
         """With a warm server in sight the cold one gets nothing."""
         self.view.take(run(2))
