--- a/tests/registry/test_busy_control.py
+++ b/tests/registry/test_busy_control.py
@@ -98,7 +98,3 @@
         self.assertLess(len(control.inbox), 100)
         content_bytes = sum(run.ByteSize() for run in control.runs.snapshot())
         self.assertLess(control.sent_bytes, 2 * 99 * content_bytes)
-
-
-if __name__ == "__main__":
-    unittest.main()
