--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -33,6 +33,8 @@
     servers_per_domain: int
     requests_per_s: float
     seconds: float = 30.0
+    #: Time that a request takes on the mean.
+    work_s: float = _WORK_S
     #: Servers that join at a third of the time, as a share of those that are there.
     joining_ratio: float = 0.0
 
@@ -180,7 +182,7 @@
         if server.in_progress >= _SLOT_COUNT + _QUEUE_COUNT:
             full_count += 1
             continue
-        work_s = _WORK_S * random.uniform(1 - _WORK_SPREAD, 1 + _WORK_SPREAD)
+        work_s = load.work_s * random.uniform(1 - _WORK_SPREAD, 1 + _WORK_SPREAD)
         wait_s, done_s = server.take(now_s, work_s)
         waits.append(wait_s)
         record.in_flight += 1
@@ -256,6 +258,7 @@
     parser.add_argument("--entries", type=int, default=39, help="in each domain")
     parser.add_argument("--servers", type=int, default=23, help="in each domain")
     parser.add_argument("--requests-per-s", type=float, default=687.0)
+    parser.add_argument("--work-ms", type=float, default=1_000 * _WORK_S)
     parser.add_argument("--factors", type=float, nargs="+", default=[1.0, 3.0, 6.0])
     parser.add_argument("--joining", type=float, default=0.25)
     options = parser.parse_args()
@@ -267,6 +270,7 @@
             options.entries,
             options.servers,
             factor * options.requests_per_s,
+            work_s=options.work_ms / 1000,
             joining_ratio=options.joining,
         )
         for name, choose in _POLICIES.items():
