--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -21,6 +21,9 @@
 
 #: Weight of the newest answer in the usual time: about the last ten count.
 _ANSWER_WEIGHT = 0.1
+#: How long a run that answers nobody is held for gone after the last sign of it: callers
+#: send again within 1.6 s, and a flow counts as safe some 4 s after a cut has healed.
+_FRESH_S = 2.0
 #: Flows that wait, remembered for each run: a few are enough to judge it by.
 _MOST_WAITING = 64
 
@@ -88,6 +91,7 @@
         "slots",
         "started_ms",
         "told_s",
+        "unanswered_s",
         "unreachable",
         "usual_answer_s",
         "waiting",
@@ -137,6 +141,27 @@
         self.waits_since_s = 0.0
         #: Whether it is held for gone, see `_silence`.
         self.unreachable = False
+        #: When a caller last showed that it did not hear from it.
+        self.unanswered_s = 0.0
+
+    def is_gone(self, now_s: float) -> bool:
+        """Tell whether it is held for gone on evidence that is fresh.
+
+        A cut makes a run unreachable as an end does, and heals. An instance that gets
+        few flows may not try the run for seconds after that, while its callers are
+        served through others; a reset would then end a flow of a run that answers.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        bool
+            Whether open flows may be ended for it.
+        """
+        return self.unreachable and now_s - self.unanswered_s < _FRESH_S
 
     def answer(self, now_s: float) -> None:
         """Note that a caller has heard from it.
@@ -195,6 +220,7 @@
         if self.answered_s >= since_s:
             # It answers others: the packet was lost, or its queue was full.
             return
+        self.unanswered_s = now_s
         self.failures += 1
         beyond = self.failures - _FAILURES_BEFORE_PENALTY
         if beyond < 0:
@@ -226,6 +252,7 @@
             Present time.
         """
         self.unreachable = True
+        self.unanswered_s = now_s
         # Their callers are told, or wait for an answer that may still come.
         self.waiting.clear()
         self.failures = max(self.failures, _FAILURES_BEFORE_PENALTY)
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -266,7 +266,7 @@
         route = self.table.routes[packet.key.host, packet.key.port]
         if not route.idempotent:
             return False
-        return backend.unreachable
+        return backend.is_gone(self._now_s())
 
     def end_flows_of_lost_runs(self) -> None:
         """Find the runs that are gone, and tell the callers of their open flows.
@@ -277,7 +277,7 @@
         now_s = self._now_s()
         lost = self._view.take_newly_ended()
         for backend in self._suspects():
-            if not backend.unreachable and self._judge_silence(backend, now_s):
+            if not backend.is_gone(now_s) and self._judge_silence(backend, now_s):
                 lost.append(backend)
         if not lost or not self._policies.resets_idle_flows:
             return
@@ -318,7 +318,7 @@
             backend, others, now_s, self._awake_since_s, told, self._policies
         ):
             backend.hold_for_gone(now_s)
-        return backend.unreachable
+        return backend.is_gone(now_s)
 
     def tick(self) -> None:
         """Note that this instance runs; to be called several times a second."""
