--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -21,8 +21,8 @@
 
 #: Weight of the newest answer in the usual time: about the last ten count.
 _ANSWER_WEIGHT = 0.1
-#: How long a run that answers nobody is held for gone after the last sign of it: callers
-#: send again within 1.6 s, and a flow counts as safe some 4 s after a cut has healed.
+#: How long a run that answers nobody is held for gone after the last sign of it:
+#: callers send again within 1.6 s, and a flow counts as safe 4 s after a cut healed.
 _FRESH_S = 2.0
 #: Flows that wait, remembered for each run: a few are enough to judge it by.
 _MOST_WAITING = 64
