--- a/scripts/known_red.py
+++ b/scripts/known_red.py
@@ -1,4 +1,4 @@
-"""Passes over the failures of a run of the tests that KNOWN-RED.txt lists, and no others.
+"""Passes over the failures of a test run that KNOWN-RED.txt lists, and no others.
 
 ``known_red.py LOG`` reads what ``make test`` printed. An entry begins at the start of a
 line with a test's full name; indented lines below it say how it was seen.
