--- a/src/agatethread/control/_routing_settings.py
+++ b/src/agatethread/control/_routing_settings.py
@@ -4,7 +4,9 @@
 
 from agatethread.settings import (
     DEFAULT_POLICIES,
+    NO_PARTS,
     ControlSettings,
+    Parts,
     Policies,
     TlsSettings,
 )
@@ -47,6 +49,8 @@
         what they send to the advertised one.
     timing : ControlSettings, optional
         Timing of the log; its folder and members are not used.
+    parts : Parts, optional
+        Which parts the deployment calls for.
     policies : Policies, optional
         What it decides by.
     """
@@ -63,6 +67,7 @@
     data_dir: str
     listen_host: str = ""
     timing: ControlSettings = DEFAULT_TIMING
+    parts: Parts = NO_PARTS
     policies: Policies = DEFAULT_POLICIES
     tls: TlsSettings | None = field(default=None)
 
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -24,6 +24,8 @@
 from agatethread.routing import decode_table
 from agatethread.settings import (
     DEFAULT_POLICIES,
+    NO_PARTS,
+    Parts,
     Policies,
     listen_address,
     parse_address,
@@ -97,6 +99,8 @@
         How many times its rate a cold backend server may get in a second.
     cold_slack_per_s : float, optional
         Requests that it may get in a second besides.
+    parts : Parts, optional
+        Which parts the deployment calls for.
     policies : Policies, optional
         What it decides by.
     """
@@ -113,6 +117,7 @@
     report_interval_s: float = 1.0
     cold_overshoot: float = 1.0
     cold_slack_per_s: float = 0.0
+    parts: Parts = NO_PARTS
     policies: Policies = DEFAULT_POLICIES
 
 
--- a/src/agatethread/routing/__init__.py
+++ b/src/agatethread/routing/__init__.py
@@ -5,7 +5,9 @@
 from agatethread.routing._flows import FlowTable
 from agatethread.routing._open_flows import OpenFlowOutcome, judge_open_flow
 from agatethread.routing._table import (
+    LOWEST_URGENCY,
     NO_ROUTES,
+    URGENCY_NOT_TOLD,
     ColdLimit,
     Route,
     RouteRule,
@@ -20,7 +22,9 @@
 
 __all__ = [
     "ColdLimit",
+    "LOWEST_URGENCY",
     "NO_ROUTES",
+    "URGENCY_NOT_TOLD",
     "Endpoint",
     "EndpointTable",
     "FlowTable",
--- a/src/agatethread/routing/_table.py
+++ b/src/agatethread/routing/_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from math import inf
 
 from agatethread.exceptions import (
     DocumentError,
@@ -16,6 +17,13 @@
     TableRoute,
 )
 
+#: Of a route whose document says nothing of it: less urgent than all that do.
+URGENCY_NOT_TOLD = 1_000
+#: What fits the 32 bits of a registry message.
+_LONGEST_MS = (1 << 32) - 1
+#: Highest number that a document may give; 0 is the most urgent.
+LOWEST_URGENCY = URGENCY_NOT_TOLD - 1
+
 
 @dataclass(frozen=True, slots=True)
 class Target:
@@ -43,6 +51,10 @@
         Longest time that a request may take.
     idempotent : bool
         Whether callers may send its requests again, whatever became of them.
+    urgency : int, optional
+        0 is the most urgent; whoever is less urgent waits for the others.
+    aim_ms : int, optional
+        Within which callers want an answer; 0 if that is not said.
     """
 
     name: str
@@ -51,6 +63,8 @@
     targets: tuple[Target, ...]
     timeout_ms: int
     idempotent: bool = False
+    urgency: int = URGENCY_NOT_TOLD
+    aim_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,14 +162,17 @@
             RouteTarget(service=position[target.service], weight=target.weight)
             for target in rule.targets
         ]
-        table.routes.append(
-            TableRoute(
-                host=rule.host,
-                port=rule.port,
-                targets=targets,
-                idempotent=rule.idempotent,
-            )
+        route = TableRoute(
+            host=rule.host,
+            port=rule.port,
+            targets=targets,
+            idempotent=rule.idempotent,
+            aim_ms=rule.aim_ms,
+            timeout_ms=min(rule.timeout_ms, _LONGEST_MS),
         )
+        if rule.urgency != URGENCY_NOT_TOLD:
+            route.urgency = rule.urgency
+        table.routes.append(route)
     return table
 
 
@@ -203,6 +220,12 @@
     services: frozenset[str]
     #: Whether callers may send its requests again, whatever became of them.
     idempotent: bool = False
+    #: 0 is the most urgent.
+    urgency: int = URGENCY_NOT_TOLD
+    #: Within which callers want an answer, and after which it is of no use to them;
+    #: infinity where the document does not say, or a table of an earlier version.
+    aim_s: float = inf
+    timeout_s: float = inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,7 +264,12 @@
         services = {target.service for target in targets}
         services.update(table.services[number] for number in route.earlier)
         routes[route.host, route.port] = Route(
-            targets, frozenset(services), route.idempotent
+            targets=targets,
+            services=frozenset(services),
+            idempotent=route.idempotent,
+            urgency=route.urgency if route.HasField("urgency") else URGENCY_NOT_TOLD,
+            aim_s=route.aim_ms / 1000 or inf,
+            timeout_s=route.timeout_ms / 1000 or inf,
         )
     cold_rates_per_s = {
         table.services[cold.service]: cold.rate_per_s for cold in table.cold_rates
--- a/src/agatethread/settings/__init__.py
+++ b/src/agatethread/settings/__init__.py
@@ -15,6 +15,7 @@
     Settings,
     TlsSettings,
 )
+from agatethread.settings._parts import NO_PARTS, Parts
 from agatethread.settings._policies import (
     DEFAULT_POLICIES,
     Policies,
@@ -46,9 +47,11 @@
 
 __all__ = [
     "DEFAULT_POLICIES",
+    "NO_PARTS",
     "ControlSettings",
     "EntrySettings",
     "LoggingSettings",
+    "Parts",
     "Policies",
     "ServiceDocument",
     "Settings",
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -13,7 +13,13 @@
 from hypothesis import strategies as st
 
 from agatethread.exceptions import DocumentError, FieldError
-from agatethread.routing import ColdLimit, Target, check_document
+from agatethread.routing import (
+    LOWEST_URGENCY,
+    URGENCY_NOT_TOLD,
+    ColdLimit,
+    Target,
+    check_document,
+)
 from agatethread.wire.registry_pb2 import BackendRun
 
 CONFIGURATION = {
@@ -78,6 +84,15 @@
                 services[0]["warmup_per_s"] = value
                 decode_configuration(changed(CONFIGURATION, ["services"], services))
 
+    def test_what_callers_want_is_read(self):
+        """Urgency and aim, where the body tells them; any priority is taken."""
+        first, second = decode_configuration(json.dumps(CONFIGURATION).encode()).rules
+        self.assertEqual((first.urgency, first.aim_ms), (1, 150))
+        self.assertEqual((second.urgency, second.aim_ms), (URGENCY_NOT_TOLD, 0))
+        path = ("routes", 0, "priority")
+        lowest = decode_configuration(changed(CONFIGURATION, path, 1 << 40)).rules[0]
+        self.assertEqual(lowest.urgency, LOWEST_URGENCY)
+
     def test_routes_are_read(self):
         """Hosts, ports, services and weights are read from the platform's names."""
         document = decode_configuration(json.dumps(CONFIGURATION).encode())
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -9,7 +9,7 @@
 from agatethread_platform.settings import SettingsWatch, parse_platform_settings
 
 from agatethread.exceptions import SettingsError
-from agatethread.settings import Policies
+from agatethread.settings import Parts, Policies
 
 TEXT = """node_name=edge-1
 zone=hall-a
@@ -36,6 +36,23 @@
         self.assertEqual(settings.report_interval_s, 1.2)
         self.assertEqual((settings.is_first_start, settings.losses_borne), (True, 2))
 
+    def test_matters_that_are_open_call_for_parts(self):
+        """Each part is on only where the platform names its matter."""
+        called_for = {
+            "base,drain": Parts(),
+            "base,pressure": Parts(relays_openings=True),
+            "health, flows": Parts(judges_answers=True),
+            "health,pressure": Parts(relays_openings=True, judges_answers=True),
+            "pressures": Parts(),
+        }
+        self.assertEqual(parse_platform_settings("file", TEXT).parts, Parts())
+        for matters, parts in called_for.items():
+            with self.subTest(matters=matters):
+                settings = parse_platform_settings(
+                    "file", f"{TEXT}invariants={matters}\n"
+                )
+                self.assertEqual(settings.parts, parts)
+
     def test_every_fault_is_named(self):
         """Missing and wrong fields are named together."""
         text = TEXT.replace("node_name=edge-1", "").replace("7720,7735", "x")
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -1,4 +1,5 @@
 import unittest
+from math import inf
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -10,6 +11,7 @@
     UnknownServiceError,
 )
 from agatethread.routing import (
+    URGENCY_NOT_TOLD,
     ColdLimit,
     RouteRule,
     RoutingDocument,
@@ -19,6 +21,7 @@
     encode_table,
     keep_earlier_services,
 )
+from agatethread.wire.registry_pb2 import RoutingTable
 
 
 def rule(name="r-1", port=443, service="tab", timeout_ms=1_000, weight=1):
@@ -46,6 +49,26 @@
         self.assertEqual(decode_table(later).cold_rates_per_s, {"archive": 0.0})
 
 
+class TestWhatCallersWant(unittest.TestCase):
+    def test_urgency_and_times_reach_entry_instances(self):
+        """The most urgent number is told apart from a document that names none."""
+        target = (Target("tab", 1),)
+        urgent = RouteRule("r-1", 1, 443, target, 2_000, urgency=0, aim_ms=400)
+        silent = RouteRule("r-2", 1, 444, target, 1 << 40)
+        table = decode_table(encode_table(document(urgent, silent)))
+        route, other = table.routes[1, 443], table.routes[1, 444]
+        self.assertEqual((route.urgency, route.aim_s, route.timeout_s), (0, 0.4, 2.0))
+        self.assertEqual((other.urgency, other.aim_s), (URGENCY_NOT_TOLD, inf))
+
+    def test_table_of_an_earlier_version_is_read(self):
+        """A table in the log that tells neither leaves both open."""
+        before = RoutingTable(version=1, services=["tab"])
+        before.routes.add(host=1, port=443).targets.add(weight=1)
+        route = decode_table(before).routes[1, 443]
+        told = (route.urgency, route.aim_s, route.timeout_s)
+        self.assertEqual(told, (URGENCY_NOT_TOLD, inf, inf))
+
+
 class TestCheckDocument(unittest.TestCase):
     def faults_of(self, checked):
         with self.assertRaises(DocumentError) as caught:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,7 +9,7 @@
 LAYERS = (
     {"exceptions", "timing"},
     {"settings", "wire"},
-    {"observability", "routing", "transfer"},
+    {"balancing", "observability", "routing", "transfer"},
     {"membership", "rpc", "sockets"},
     {"operations", "registry"},
     {"client", "control", "datapath", "entry"},
