--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -24,6 +24,7 @@
 from agatethread.control._storage import LogStorage
 from agatethread.observability import Counters, Event, Measures, make_logger
 from agatethread.registry import (
+    DispatcherDirectory,
     EvacuationPublisher,
     Hints,
     RegistryHub,
@@ -48,6 +49,7 @@
 _URGENT_INTERVAL_S = 0.05
 _SWEEP_INTERVAL_S = 0.2
 _SIGHTINGS_INTERVAL_S = 0.1
+_DISPATCHERS_INTERVAL_S = 0.2
 _MEMBERS_INTERVAL_S = 0.25
 _REMEMBER_INTERVAL_S = 0.5
 #: Reporting intervals after which every backend server that lives has reported here.
@@ -110,6 +112,13 @@
             self._is_settled,
             self._hears_leader,
         )
+        self._dispatchers = DispatcherDirectory(
+            settings.failure_domain,
+            self.hub.entries_in_sight,
+            lambda: (run for _, run in self.runs.changes_after(0, False)),
+            lambda: self.subscription.live(),
+            now_s,
+        )
         self._evacuations = EvacuationPublisher(
             self.hub.entries_in_sight, self._transport.send, now_s
         )
@@ -151,6 +160,9 @@
         self.timers.subscribe(_FLUSH_INTERVAL_S, self._evacuations.publish)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self.runs.sweep)
         self.timers.subscribe(_SIGHTINGS_INTERVAL_S, self.hub.tell_sightings)
+        if self.settings.parts.relays_openings:
+            self.hub.list_dispatchers = self._dispatchers
+            self.timers.subscribe(_DISPATCHERS_INTERVAL_S, self._dispatchers.refresh)
         self._hints = HintKeeper(
             self.settings.data_dir,
             self.runs,
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -7,12 +7,12 @@
 
 import random
 from collections.abc import Callable
-from math import inf
 
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._cold import ColdLimits
 from agatethread.datapath._flows import Flow, FlowLoads
+from agatethread.datapath._openings import is_warm_soon, judge_earlier, log_placed
 from agatethread.datapath._packets import (
     Address,
     FlowKey,
@@ -20,14 +20,11 @@
     PacketCodec,
     caller_packet,
 )
-from agatethread.datapath._placing import (
-    choose_service,
-    may_take_work,
-    order_services,
-    place_flow,
-)
+from agatethread.datapath._placing import choose_service, order_services, place_flow
+from agatethread.datapath._shared_placing import SharedPlacing
 from agatethread.datapath._sightings import SharedSilence
-from agatethread.datapath._silence import ends_with_its_run, is_unreachable
+from agatethread.datapath._silence import ends_with_its_run
+from agatethread.datapath._suspects import find_suspects, judge_suspect
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.routing import (
     NO_ROUTES,
@@ -42,10 +39,6 @@
 #: A pause in which this instance can't have run: its timers call it each 0.2 s.
 _PAUSE_S = 1.0
 
-#: A cold backend server that is warm by then is waited for: copies of an opening and
-#: of the try that follows it come within twice 1.4 s.
-_WORTH_WAITING_S = 2.8
-
 log = make_logger("forwarder")
 
 
@@ -100,6 +93,8 @@
         self._policies = policies
         self._ticked_s = now_s()
         self._awake_since_s = now_s()
+        #: Set where openings are placed together with other instances.
+        self.shared_placing: SharedPlacing | None = None
         self.loads = FlowLoads(flow_limit_count)
         self.shared = SharedSilence(now_s)
         self.table: RouteTable = NO_ROUTES
@@ -156,8 +151,23 @@
             return
 
         now_s = self._now_s()
-        service, tried = self._judge_earlier(packet, route, now_s)
+        flow = self.loads.find(packet.key)
+        service, tried = judge_earlier(flow, packet, route, now_s)
         service = service or choose_service(route.targets, random.random)
+        if self.shared_placing and not tried:
+            if self.shared_placing.relay(packet, service):
+                return
+        self._place(packet, route, service, tried, now_s)
+
+    def _place(
+        self,
+        packet: Packet,
+        route: Route,
+        service: str,
+        tried: tuple[Backend, ...],
+        now_s: float,
+    ) -> None:
+        """Place an opening by this instance's own counts."""
         backend = place_flow(
             order_services(route.targets, service),
             self._view.of_service,
@@ -170,7 +180,7 @@
         if backend is None:
             self._answer_unplaced(packet, route, now_s)
             return
-        self._log_placed(packet, backend, tried, now_s)
+        log_placed(packet, backend, tried, now_s, self.table.version)
         backend.start_trial(now_s)
         self._cold.note(backend, now_s)
         self.loads.open(packet.key, backend, now_s)
@@ -179,62 +189,68 @@
         if packet.copy:
             self._counters["openings_again"] += 1
 
+    def place_here(self, packet: Packet) -> None:
+        """Place an opening that nobody else takes, by this instance's own counts.
+
+        Parameters
+        ----------
+        packet : Packet
+            The opening.
+        """
+        route = self.table.routes.get((packet.key.host, packet.key.port))
+        if route is None:
+            self._reset(packet, "no_route")
+            return
+        service = choose_service(route.targets, random.random)
+        self._place(packet, route, service, (), self._now_s())
+
+    def forward_opening(
+        self,
+        packet: Packet,
+        backend: Backend,
+        tried: tuple[Backend, ...],
+        waited_s: float,
+    ) -> None:
+        """Forward an opening that this instance placed as a dispatcher.
+
+        Parameters
+        ----------
+        packet : Packet
+            The opening.
+        backend : Backend
+            Where it goes.
+        tried : tuple of Backend
+            Runs that got it before and did not answer.
+        waited_s : float
+            How long its caller has waited.
+        """
+        version = self.table.version
+        log_placed(packet, backend, tried, self._now_s(), version, waited_s)
+        self._forward(packet, backend)
+
+    def refuse(self, packet: Packet, reason: str) -> None:
+        """Tell a caller that its flow is not taken on.
+
+        Parameters
+        ----------
+        packet : Packet
+            Its opening.
+        reason : str
+            For logs and counters.
+        """
+        self._reset(packet, reason)
+
     def _answer_unplaced(self, packet: Packet, route: Route, now_s: float) -> None:
         """Refuse an opening that nobody will take in time; leave others to copies."""
         if not self._knows_all():
             self._drop(packet, "no_backend_known")
             return
-        warm_s = [
-            backend.warm_s
-            for target in route.targets
-            for backend in self._view.of_service(target.service)
-            if may_take_work(backend) and self._cold.spares(backend, now_s)
-        ]
-        if min(warm_s, default=inf) <= now_s + _WORTH_WAITING_S:
+        if is_warm_soon(route, self._view.of_service, self._cold, now_s):
             # Refused it would come back within milliseconds, and be refused again.
             self._drop(packet, "backends_cold")
         else:
             self._reset(packet, "no_backend")
 
-    def _judge_earlier(
-        self, packet: Packet, route: Route, now_s: float
-    ) -> tuple[str, tuple[Backend, ...]]:
-        """Return the service and the runs that the same opening went to before.
-
-        A first opening from a port that was used before is another flow, and the route
-        may have moved since.
-        """
-        flow = self.loads.find(packet.key)
-        if flow is None or not packet.copy:
-            return "", ()
-        flow.backend.fail(flow.waits_since_s, now_s)
-        service = flow.backend.service
-        if all(target.service != service for target in route.targets):
-            return "", ()
-        return service, (*flow.tried, flow.backend)
-
-    def _log_placed(
-        self,
-        packet: Packet,
-        backend: Backend,
-        tried: tuple[Backend, ...],
-        now_s: float,
-    ) -> None:
-        log.info(
-            Event.FLOW_PLACED,
-            flow=str(packet.key),
-            copy=packet.copy,
-            run=backend.id,
-            label=backend.label,
-            service=backend.service,
-            in_flight=backend.in_flight,
-            flows=backend.flows,
-            failures=backend.failures,
-            told_ago_s=round(now_s - backend.told_s, 3),
-            tried=[one.id for one in tried],
-            table_version=self.table.version,
-        )
-
     # -- packets of open flows ----------------------------------------------------
 
     def _on_packet(self, packet: Packet) -> None:
@@ -246,6 +262,8 @@
         )
         if outcome is OpenFlowOutcome.FORWARD:
             self.loads.note(packet, backend, self._now_s())
+            if self.shared_placing:
+                self._note_relayed(packet.key)
             if self._ends_flow(packet, backend):
                 self.loads.forget(packet.key)
                 self._reset(packet, "backend_unreachable")
@@ -256,6 +274,11 @@
         else:
             self._drop(packet, outcome.value)
 
+    def _note_relayed(self, key: FlowKey) -> None:
+        flow = self.loads.find(key)
+        is_over = flow is None
+        self.shared_placing.note_packet(key, not is_over and flow.busy, is_over)
+
     def _ends_flow(self, packet: Packet, backend: Backend) -> bool:
         """Decide whether a request is better sent again on another flow.
 
@@ -277,7 +300,14 @@
         now_s = self._now_s()
         lost = self._view.take_newly_ended()
         for backend in self._suspects():
-            if not backend.is_gone(now_s) and self._judge_silence(backend, now_s):
+            if not backend.is_gone(now_s) and judge_suspect(
+                backend,
+                self._view,
+                self.shared,
+                now_s,
+                self._awake_since_s,
+                self._policies,
+            ):
                 lost.append(backend)
         if not lost or not self._policies.resets_idle_flows:
             return
@@ -305,20 +335,7 @@
         return self.shared.observe(self._suspects())
 
     def _suspects(self) -> set[Backend]:
-        """List the runs that flows wait for, here or as was told elsewhere."""
-        suspects = self.loads.waited_for()
-        told = (self._view.find(label) for label in self.shared.labels())
-        suspects.update(backend for backend in told if backend is not None)
-        return {backend for backend in suspects if not backend.ended}
-
-    def _judge_silence(self, backend: Backend, now_s: float) -> bool:
-        others = self._view.of_service(backend.service)
-        told = self.shared.of(backend)
-        if is_unreachable(
-            backend, others, now_s, self._awake_since_s, told, self._policies
-        ):
-            backend.hold_for_gone(now_s)
-        return backend.is_gone(now_s)
+        return find_suspects(self.loads, self._view, self.shared)
 
     def tick(self) -> None:
         """Note that this instance runs; to be called several times a second."""
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -8,17 +8,21 @@
 
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._cold import ColdLimits
+from agatethread.datapath._dispatching import Hands
 from agatethread.datapath._forwarder import LabelForwarder
 from agatethread.datapath._leaving import Departure
 from agatethread.datapath._pacing import PacedSender
 from agatethread.datapath._packets import PacketCodec
+from agatethread.datapath._placing import may_take_work
 from agatethread.datapath._readiness import Readiness
+from agatethread.datapath._shared_placing import SharedPlacing
 from agatethread.observability import Counters, Event, Measures, make_logger
 from agatethread.registry import (
     KnownEvacuations,
     RegistryTransport,
     Subscription,
     is_cut_off,
+    merge_dispatchers,
     widest_rank,
 )
 from agatethread.routing import decode_table
@@ -57,6 +61,8 @@
 _URGENT_INTERVAL_S = 0.05
 _SWEEP_INTERVAL_S = 1.0
 _CHECK_INTERVAL_S = 0.1
+#: An opening that waits is refused so long after it can't be served any more at most.
+_LINE_INTERVAL_S = 0.05
 #: Without an answer from the other failure domains for so long they may be out of
 #: reach: as long as control instances may be silent.
 _CUT_OFF_S = 1.0
@@ -181,10 +187,34 @@
             counters,
             KnownEvacuations(self.view.take_evacuations),
         )
+        if settings.parts.relays_openings:
+            self.forwarder.shared_placing = self._make_shared_placing(codec)
         self.subscription.presence = PRESENCE_AWAY
         self._heard_control_s = 0.0
         self.is_ready = False
 
+    def _make_shared_placing(self, codec: PacketCodec) -> SharedPlacing:
+        now_s, forwarder = self.timers.now_s, self.forwarder
+        hands = Hands(
+            forward=forwarder.forward_opening,
+            refuse=forwarder.refuse,
+            send=self._transport.send,
+            table_version=lambda: forwarder.table.version,
+        )
+        return SharedPlacing(
+            pack_address(parse_address(self._settings.registry)),
+            self._settings.failure_domain,
+            self.view.of_service,
+            lambda one: may_take_work(one) and not self._cold.spares(one, now_s()),
+            codec.decode,
+            lambda: forwarder.table,
+            hands,
+            forwarder.place_here,
+            now_s,
+            self.counters,
+            self._settings.policies,
+        )
+
     async def on_start(self) -> None:
         """Start to read and to ask."""
         self._transport.start(self._on_message)
@@ -199,6 +229,8 @@
         self.timers.subscribe(_SUSPECT_INTERVAL_S, self._judge_suspects)
         self.timers.subscribe(_CHECK_INTERVAL_S, self._check_ready)
         self.timers.subscribe(_SWEEP_INTERVAL_S, self._sweep)
+        if self.forwarder.shared_placing:
+            self.timers.subscribe(_LINE_INTERVAL_S, self.forwarder.shared_placing.tick)
         self.subscription.poll()
         log.info(Event.ENTRY_STARTED, instance=self._settings.name)
 
@@ -240,6 +272,8 @@
             self.subscription.on_evacuations(message.evacuations, source)
         elif body == "sightings":
             self.forwarder.shared.take(message.sightings)
+        elif self.forwarder.shared_placing:
+            self.forwarder.shared_placing.on_message(message, source)
 
     def _on_routes(self, table: RoutingTable) -> None:
         self.forwarder.take_table(decode_table(table))
@@ -248,6 +282,9 @@
         self.forwarder.tick()
         self.view.judge(self.subscription.is_reporting)
         self._cold.rank = widest_rank(self.subscription.live())
+        if self.forwarder.shared_placing:
+            told = merge_dispatchers(self.subscription.live(), self.timers.now_s())
+            self.forwarder.shared_placing.take_dispatchers(told)
         if self._settings.policies.serves_evacuated_when_cut_off:
             self.view.exempt(
                 self._settings.failure_domain if self._is_cut_off() else ""
@@ -272,6 +309,8 @@
         now_s = self.timers.now_s()
         self.forwarder.loads.sweep(now_s)
         self._cold.sweep(now_s)
+        if self.forwarder.shared_placing:
+            self.forwarder.shared_placing.sweep()
 
     def _check_ready(self) -> None:
         ready = self.readiness.check(
--- a/src/agatethread/datapath/_packets.py
+++ b/src/agatethread/datapath/_packets.py
@@ -3,9 +3,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from socket import inet_ntoa
+from struct import Struct
 from typing import NamedTuple
 
 Address = tuple[str, int]
+#: The caller's address and port, and the service's.
+_FLOW = Struct("!IHIH")
 
 
 class FlowKey(NamedTuple):
@@ -22,6 +25,38 @@
         return f"{caller}:{self.caller_port}>{host}:{self.port}"
 
 
+def pack_flow(key: FlowKey) -> bytes:
+    """Write a flow for a message.
+
+    Parameters
+    ----------
+    key : FlowKey
+        The flow.
+
+    Returns
+    -------
+    bytes
+        12 bytes in network order.
+    """
+    return _FLOW.pack(*key)
+
+
+def unpack_flow(data: bytes) -> FlowKey | None:
+    """Read a flow from a message.
+
+    Parameters
+    ----------
+    data : bytes
+        As `pack_flow` wrote it.
+
+    Returns
+    -------
+    FlowKey or None
+        None if it is none.
+    """
+    return FlowKey(*_FLOW.unpack(data)) if len(data) == _FLOW.size else None
+
+
 class Packet(NamedTuple):
     """The decoded header of a caller's packet, and the packet itself."""
 
--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._cold import NO_COLD_LIMITS, ColdLimits
@@ -153,6 +153,70 @@
     return best
 
 
+def count_places(backend: Backend) -> int:
+    """Count the openings and requests that a run may have in progress at once.
+
+    The load that this answers: every slot is in use, and who is urgent must not queue
+    behind others at a server. While an opening and its answer travel a slot would idle,
+    so there is one on its way for each slot, and one more.
+
+    Parameters
+    ----------
+    backend : Backend
+        The run.
+
+    Returns
+    -------
+    int
+        More than its slots, and less than it takes in before it sheds.
+    """
+    return 2 * backend.slots + 1
+
+
+def choose_place(
+    backends: Iterable[Backend],
+    in_progress: Mapping[Backend, int],
+    now_s: float,
+    tried: Sequence[Backend] = (),
+    policies: Policies = DEFAULT_POLICIES,
+) -> Backend | None:
+    """Choose the run with the least in progress by exact counts.
+
+    Parameters
+    ----------
+    backends : iterable of Backend
+        Those that may take work.
+    in_progress : mapping of Backend to int
+        Openings and requests that each has; those without any are left out.
+    now_s : float
+        Present time.
+    tried : sequence of Backend, optional
+        Runs that have not answered this flow; taken only if there is no other.
+    policies : Policies, optional
+        How much slower a cold one counts.
+
+    Returns
+    -------
+    Backend or None
+        None when no run has a place.
+    """
+    best, best_cost = None, (True, True, 0.0, 0.0)
+    for backend in backends:
+        count = in_progress.get(backend, 0)
+        if count >= count_places(backend):
+            continue
+        factor = policies.cold_factor if now_s < backend.warm_s else 1.0
+        cost = (
+            backend in tried,
+            now_s < backend.penalty_until_s,
+            factor * (count + 1) / backend.slots,
+            random.random(),
+        )
+        if best is None or cost < best_cost:
+            best, best_cost = backend, cost
+    return best
+
+
 def place_flow(
     services: Sequence[str],
     runs_of: Callable[[str], Iterable[Backend]],
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -17,6 +17,14 @@
     PACKET_DROPPED = "packet dropped"
     DATAGRAM_FAILED = "a datagram's handler failed"
 
+    # Openings under pressure.
+    PRESSURE_BEGINS = "pressure begins: openings are relayed"
+    PRESSURE_ENDS = "pressure ends: openings are placed here"
+    OPENING_RELAYED = "opening relayed"
+    OPENING_HANDED_OVER = "opening handed over to another failure domain"
+    OPENING_REFUSED = "opening refused: no room in time"
+    DISPATCHER_SILENT = "dispatcher silent: it gets no openings"
+
     # Backend servers, as an entry instance holds them.
     RUN_KNOWN = "backend server known"
     RUN_REPORTING = "backend server reporting"
@@ -111,8 +119,33 @@
                 "told_ago_s",
                 "tried",
                 "table_version",
+                "waited_s",
+            }
+        ),
+        Event.PRESSURE_BEGINS: frozenset(
+            {"service", "in_flight", "entries", "dispatchers"}
+        ),
+        Event.PRESSURE_ENDS: frozenset(
+            {"service", "in_flight", "entries", "dispatchers"}
+        ),
+        Event.OPENING_RELAYED: frozenset(
+            {"flow", "copy", "service", "dispatcher", "waited_s", "table_version"}
+        ),
+        Event.OPENING_HANDED_OVER: frozenset(
+            {"flow", "service", "dispatcher", "waited_s"}
+        ),
+        Event.OPENING_REFUSED: frozenset(
+            {
+                "flow",
+                "service",
+                "urgency",
+                "waited_s",
+                "waiting",
+                "places",
+                "place_time_s",
             }
         ),
+        Event.DISPATCHER_SILENT: frozenset({"dispatcher", "flow", "waited_s"}),
         Event.FLOW_RESET: frozenset({"why", "flow", "label", "table_version"}),
         Event.PACKET_DROPPED: frozenset({"why", "flow", "label", "table_version"}),
         Event.DATAGRAM_FAILED: frozenset(),
--- a/src/agatethread/registry/__init__.py
+++ b/src/agatethread/registry/__init__.py
@@ -1,5 +1,6 @@
 """Backend servers as they report themselves, told to every entry instance."""
 
+from agatethread.registry._dispatchers import DispatcherDirectory, merge_dispatchers
 from agatethread.registry._evacuations import EvacuationPublisher, KnownEvacuations
 from agatethread.registry._following import is_cut_off, widest_rank
 from agatethread.registry._hub import RegistryHub, RoutesOffer
@@ -15,6 +16,7 @@
 __all__ = [
     "NO_RANK",
     "START_NOT_TOLD",
+    "DispatcherDirectory",
     "DomainView",
     "EvacuationPublisher",
     "Hints",
@@ -32,6 +34,7 @@
     "decode_message",
     "is_cut_off",
     "load_hints",
+    "merge_dispatchers",
     "save_hints",
     "widest_rank",
 ]
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -15,16 +15,13 @@
 from agatethread.registry._rounds import MOST_MESSAGES, next_limit, order_turns
 from agatethread.registry._runs import RunTable
 from agatethread.registry._sightings import SightingPool
-from agatethread.registry._subscribers import (
-    Subscriber,
-    describe,
-    list_controls,
-)
+from agatethread.registry._subscribers import Subscriber, describe_all, list_controls
 from agatethread.registry._waiting import IndexWaiters
 from agatethread.wire.registry_pb2 import (
     PRESENCE_LEAVING,
     BackendRun,
     Delta,
+    Dispatchers,
     Poll,
     RegistryMessage,
     Sightings,
@@ -95,6 +92,8 @@
         self._expected: dict[bytes, Subscriber] = {}
         self._sightings = SightingPool()
         self._ranks: dict[bytes, EntryRank] = {}
+        #: Tells who places openings in each failure domain; nobody, unless it is set.
+        self.list_dispatchers: Callable[[], Iterable[Dispatchers]] = tuple
 
     def offer_routes(self, offer: RoutesOffer) -> None:
         """Send a routing table to everyone who has an older one.
@@ -245,6 +244,7 @@
         rank = self._ranks.get(address, NO_RANK)
         messages[-1].delta.hub.entries = rank.count
         messages[-1].delta.hub.rank = rank.position
+        messages[-1].delta.hub.dispatchers.extend(self.list_dispatchers())
         if subscriber.presence == PRESENCE_LEAVING:
             # Only then it is asked for; counting costs a look at every subscriber.
             counts = count_domain(self._subscribers, address, self._now_s())
@@ -393,8 +393,4 @@
         list of dict
             Ready for JSON.
         """
-        now_s = self._now_s()
-        return [
-            describe(address, subscriber, now_s)
-            for address, subscriber in self._subscribers.items()
-        ]
+        return describe_all(self._subscribers, self._now_s())
--- a/src/agatethread/registry/_link.py
+++ b/src/agatethread/registry/_link.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from agatethread.registry._presence import NO_RANK, EntryRank
-from agatethread.wire.registry_pb2 import Delta, DomainCounts, HubState
+from agatethread.wire.registry_pb2 import Delta, Dispatchers, DomainCounts, HubState
 
 #: Messages that are acknowledged together: half of those sent at a time.
 _ACKNOWLEDGED = 4
@@ -37,6 +37,9 @@
     #: What it said of this instance's failure domain, and when.
     domain: DomainCounts | None = None
     domain_told_s: float = float("-inf")
+    #: Who places openings in each failure domain, as it said last, and when.
+    dispatchers: tuple[Dispatchers, ...] = ()
+    dispatchers_told_s: float = float("-inf")
     #: Whether all that it knew has arrived here once.
     complete: bool = False
     #: Runs that it holds for alive: the start time of the newest by id.
@@ -58,6 +61,9 @@
         if state.HasField("domain"):
             self.domain = state.domain
             self.domain_told_s = now_s
+        if state.dispatchers:
+            self.dispatchers = tuple(state.dispatchers)
+            self.dispatchers_told_s = now_s
 
     def take(self, delta: Delta) -> bool:
         """Note how far a message brings this process.
--- a/src/agatethread/registry/_subscribers.py
+++ b/src/agatethread/registry/_subscribers.py
@@ -163,28 +163,31 @@
     ]
 
 
-def describe(address: bytes, subscriber: Subscriber, now_s: float) -> dict[str, object]:
-    """Write a subscriber for a state dump.
+def describe_all(
+    subscribers: Mapping[bytes, Subscriber], now_s: float
+) -> list[dict[str, object]]:
+    """Write subscribers for a state dump.
 
     Parameters
     ----------
-    address : bytes
-        Its packed address.
-    subscriber : Subscriber
-        The subscriber.
+    subscribers : mapping of bytes to Subscriber
+        By packed address.
     now_s : float
         Present time.
 
     Returns
     -------
-    dict
+    list of dict
         Ready for JSON.
     """
-    return {
-        "address": address.hex(),
-        "is_control": subscriber.is_control,
-        "seen_index": subscriber.seen_index,
-        "routes_version": subscriber.routes_version,
-        "evacuations_version": subscriber.evacuations_version,
-        "heard_ago_s": round(now_s - subscriber.heard_s, 3),
-    }
+    return [
+        {
+            "address": address.hex(),
+            "is_control": subscriber.is_control,
+            "seen_index": subscriber.seen_index,
+            "routes_version": subscriber.routes_version,
+            "evacuations_version": subscriber.evacuations_version,
+            "heard_ago_s": round(now_s - subscriber.heard_s, 3),
+        }
+        for address, subscriber in subscribers.items()
+    ]
--- a/tests/datapath/test_silence.py
+++ b/tests/datapath/test_silence.py
@@ -234,7 +234,7 @@
     def test_callers_of_a_dead_run_are_served_elsewhere(self):
         """Most of its flows' next requests are answered, and most of those in time."""
         told = Play(dies_at_10).play(20.0)
-        with mock.patch("agatethread.datapath._forwarder.is_unreachable") as judge:
+        with mock.patch("agatethread.datapath._suspects.is_unreachable") as judge:
             judge.return_value = False
             untold = Play(dies_at_10).play(20.0)
         self.assertGreater(untold.failed, 12)
