--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -162,6 +162,7 @@
         self.timers.subscribe(_SIGHTINGS_INTERVAL_S, self.hub.tell_sightings)
         if self.settings.parts.relays_openings:
             self.hub.list_dispatchers = self._dispatchers
+            self.hub.list_serving = self._dispatchers.list_serving
             self.timers.subscribe(_DISPATCHERS_INTERVAL_S, self._dispatchers.refresh)
         self._hints = HintKeeper(
             self.settings.data_dir,
--- a/src/agatethread/datapath/_dispatching.py
+++ b/src/agatethread/datapath/_dispatching.py
@@ -301,6 +301,8 @@
         if placed is None:
             self._drop_waiting(key)
             return
+        # Its caller heard from the server, though no packet that shows it passes here.
+        placed.backend.answer(self._now_s())
         self._fill(placed.service)
 
     def _drop_waiting(self, key: FlowKey) -> None:
--- a/src/agatethread/datapath/_relaying.py
+++ b/src/agatethread/datapath/_relaying.py
@@ -248,7 +248,8 @@
         self._distrusted_until_s.pop(dispatcher, None)
 
     def _tell_end(self, key: FlowKey, dispatcher: bytes) -> None:
-        self._send(RegistryMessage(ended=WorkEnded(flows=[pack_flow(key)])), dispatcher)
+        ended = WorkEnded(flows=[pack_flow(key)])
+        self._send(RegistryMessage(ended=ended), dispatcher)
 
     def take_back(self, key: FlowKey) -> None:
         """Note that a dispatcher does not place an opening; this instance does.
--- a/src/agatethread/registry/_dispatchers.py
+++ b/src/agatethread/registry/_dispatchers.py
@@ -43,13 +43,10 @@
     )
 
 
-def choose_for_domain(
-    failure_domain: str,
-    entries: Iterable[tuple[bytes, Subscriber]],
-    slot_count: int,
-    now_s: float,
-) -> Dispatchers:
-    """Choose the dispatchers of a failure domain among its entry instances.
+def list_serving(
+    failure_domain: str, entries: Iterable[tuple[bytes, Subscriber]], now_s: float
+) -> list[bytes]:
+    """List the entry instances of a failure domain that serve callers.
 
     Parameters
     ----------
@@ -57,28 +54,21 @@
         Its name.
     entries : iterable of tuple of (bytes, Subscriber)
         Entry instances by their packed addresses, also of other failure domains.
-    slot_count : int
-        Slots of the domain's backend servers.
     now_s : float
         Present time.
 
     Returns
     -------
-    Dispatchers
-        Without addresses where nobody serves.
+    list of bytes
+        Their packed addresses.
     """
-    serving = [
+    return [
         address
         for address, entry in entries
         if entry.failure_domain == failure_domain
         and entry.presence == PRESENCE_SERVING
         and now_s - entry.heard_s < _HEARD_S
     ]
-    return Dispatchers(
-        failure_domain=failure_domain,
-        addresses=choose_dispatchers(serving, slot_count),
-        entry_count=len(serving),
-    )
 
 
 def merge_dispatchers(links: Iterable[HubLink], now_s: float) -> dict[str, Dispatchers]:
@@ -141,6 +131,7 @@
         self._list_controls = list_controls
         self._now_s = now_s
         self._known: Sequence[Dispatchers] = ()
+        self._serving: Sequence[bytes] = ()
 
     def __call__(self) -> Sequence[Dispatchers]:
         """Tell the dispatchers of each failure domain.
@@ -152,15 +143,35 @@
         """
         return self._known
 
+    def list_serving(self) -> Sequence[bytes]:
+        """List the entry instances of the own failure domain that ask this instance.
+
+        Returns
+        -------
+        sequence of bytes
+            Packed addresses of those that serve.
+        """
+        return self._serving
+
     def refresh(self) -> None:
         """Choose anew; to be called a few times a second."""
         now_s = self._now_s()
-        own = choose_for_domain(
-            self._failure_domain,
-            self._entries_in_sight(),
-            count_slots(self._list_runs(), self._failure_domain),
-            now_s,
+        domain, controls = self._failure_domain, list(self._list_controls())
+        self._serving = list_serving(domain, self._entries_in_sight(), now_s)
+        # An entry instance asks one of the domain's control instances, or all of them.
+        serving = set(self._serving).union(
+            *(
+                link.serving
+                for link in controls
+                if link.failure_domain == domain
+                and now_s - link.serving_told_s < _HEARD_S
+            )
+        )
+        slot_count = count_slots(self._list_runs(), domain)
+        merged = merge_dispatchers(controls, now_s)
+        merged[domain] = Dispatchers(
+            failure_domain=domain,
+            addresses=choose_dispatchers(sorted(serving), slot_count),
+            entry_count=len(serving),
         )
-        merged = merge_dispatchers(self._list_controls(), now_s)
-        merged[self._failure_domain] = own
         self._known = [merged[domain] for domain in sorted(merged)]
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -94,6 +94,8 @@
         self._ranks: dict[bytes, EntryRank] = {}
         #: Tells who places openings in each failure domain; nobody, unless it is set.
         self.list_dispatchers: Callable[[], Iterable[Dispatchers]] = tuple
+        #: Tells which entry instances of the own failure domain serve.
+        self.list_serving: Callable[[], Iterable[bytes]] = tuple
 
     def offer_routes(self, offer: RoutesOffer) -> None:
         """Send a routing table to everyone who has an older one.
@@ -245,6 +247,8 @@
         messages[-1].delta.hub.entries = rank.count
         messages[-1].delta.hub.rank = rank.position
         messages[-1].delta.hub.dispatchers.extend(self.list_dispatchers())
+        if subscriber.is_control and subscriber.failure_domain == self._failure_domain:
+            messages[-1].delta.hub.serving.extend(self.list_serving())
         if subscriber.presence == PRESENCE_LEAVING:
             # Only then it is asked for; counting costs a look at every subscriber.
             counts = count_domain(self._subscribers, address, self._now_s())
--- a/src/agatethread/registry/_link.py
+++ b/src/agatethread/registry/_link.py
@@ -40,6 +40,9 @@
     #: Who places openings in each failure domain, as it said last, and when.
     dispatchers: tuple[Dispatchers, ...] = ()
     dispatchers_told_s: float = float("-inf")
+    #: Entry instances of its failure domain that serve and ask it, and when it said so.
+    serving: tuple[bytes, ...] = ()
+    serving_told_s: float = float("-inf")
     #: Whether all that it knew has arrived here once.
     complete: bool = False
     #: Runs that it holds for alive: the start time of the newest by id.
@@ -64,6 +67,9 @@
         if state.dispatchers:
             self.dispatchers = tuple(state.dispatchers)
             self.dispatchers_told_s = now_s
+        if state.serving:
+            self.serving = tuple(state.serving)
+            self.serving_told_s = now_s
 
     def take(self, delta: Delta) -> bool:
         """Note how far a message brings this process.
--- a/tests/datapath/test_shared_placing.py
+++ b/tests/datapath/test_shared_placing.py
@@ -45,7 +45,7 @@
         self.clock = Clock(0.0)
         self.draw = random.Random(seed)
         self.events, self.number, self.caller_count = [], 0, 0
-        self.cut, self.lost = set(), 0.0
+        self.cut, self.lost, self.dropped = set(), 0.0, 0.0
         self.outcomes = {}
         self.shed_count = self.arrival_count = 0
         self.entries, self.domain_of = {}, {}
@@ -128,7 +128,7 @@
     def on_sent(self, place, data, key):
         if data[0] == "reset":
             self.later(CALLER_S / 2, self.on_refused, key)
-        elif place not in self.cut:
+        elif place not in self.cut and self.draw.random() >= self.dropped:
             self.later(NEAR_S, self.on_server, data[1], key)
 
     # -- backend servers ----------------------------------------------------------
@@ -324,6 +324,16 @@
         dispatcher = next(iter(world.entries.values())).shared_placing.dispatcher
         self.assertEqual(len(dispatcher._places), 0)
 
+    def test_servers_that_answer_are_not_avoided(self):
+        """Openings lost on their way to a server say nothing of it."""
+        world = World(entries=24)
+        world.dropped = 0.02
+        world.crowd(800, 4.0)
+        world.run(4.0)
+        for forwarder in world.entries.values():
+            for backend in forwarder._view.of_service("tab"):
+                self.assertLess(backend.penalty_until_s, world.clock())
+
     def test_other_table_gives_openings_back(self):
         """A dispatcher with another table places nothing, and nobody waits for it."""
         world = self.crowded()
