--- a/src/agatethread/balancing/_waiting.py
+++ b/src/agatethread/balancing/_waiting.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Hashable
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 from math import inf
 from typing import Generic, TypeVar
@@ -18,11 +18,14 @@
 
 T = TypeVar("T")
 
-#: Each so many places, one goes to whoever waits longest of the less urgent, so that
-#: nobody starves while the urgent alone fill all places.
+#: Each so many places, one goes to the first of a less urgent kind, of the kind whose
+#: first waits longest, so that none starves while the urgent alone fill all places.
 _FLOOR_EACH = 8
 #: Far more than a dispatcher can place within its callers' patience.
 _MOST_WAITING = 2_000
+#: Entries of heaps that are gone and kept: a heap is cleared of them when it holds more
+#: than these beside as many as wait.
+_MOST_GONE = 64
 
 
 @dataclass(slots=True)
@@ -59,6 +62,15 @@
             heappop(self.late)
         return None
 
+    def clear_gone(self) -> None:
+        """Drop what is gone, where much is: in a long crowd it is never first."""
+        held_count = len(self.in_time) + len(self.late)
+        if held_count <= 2 * self.waiting_count + _MOST_GONE:
+            return
+        for heap in (self.in_time, self.late):
+            heap[:] = [entry for entry in heap if not entry[2].is_gone]
+            heapify(heap)
+
 
 class WaitingLine(Generic[T]):
     """A bounded line with an order of its own.
@@ -189,6 +201,8 @@
         expired = [one for one in self._by_key.values() if one.latest_s < now_s]
         for waiter in expired:
             self._remove(waiter)
+        for urgent in self._classes.values():
+            urgent.clear_gone()
         return [waiter.item for waiter in expired]
 
     def count_ahead(self, urgency: int) -> int:
