--- a/src/agatethread/registry/_dispatchers.py
+++ b/src/agatethread/registry/_dispatchers.py
@@ -7,7 +7,7 @@
 instances that serve.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from agatethread.balancing import choose_dispatchers
 from agatethread.registry._link import HubLink
@@ -97,19 +97,52 @@
         By failure domain: as a control instance of that domain says where one is heard,
         else as any other does.
     """
-    told = [link for link in links if now_s - link.dispatchers_told_s < _TOLD_S]
-    told.sort(key=lambda link: link.address)
+    links = list(links)
     merged: dict[str, Dispatchers] = {}
-    for link in told:
-        for one in link.dispatchers:
-            if one.failure_domain == link.failure_domain:
+    for by_its_own in (True, False):
+        for link, one in _told_lately(links, now_s):
+            if (one.failure_domain == link.failure_domain) is by_its_own:
                 merged.setdefault(one.failure_domain, one)
-    for link in told:
-        for one in link.dispatchers:
-            merged.setdefault(one.failure_domain, one)
     return merged
 
 
+def list_first_hand(links: Iterable[HubLink], now_s: float) -> dict[str, Dispatchers]:
+    """List what control instances told of the dispatchers of their own failure domain.
+
+    Only this may be told on: two that told each other what they had from a third would
+    keep it alive when that one is gone.
+
+    Parameters
+    ----------
+    links : iterable of HubLink
+        The control instances that answered lately.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    dict of str to Dispatchers
+        By failure domain.
+    """
+    heard: dict[str, Dispatchers] = {}
+    for link, one in _told_lately(links, now_s):
+        if one.failure_domain == link.failure_domain:
+            heard.setdefault(one.failure_domain, one)
+    return heard
+
+
+def _told_lately(
+    links: Iterable[HubLink], now_s: float
+) -> Iterator[tuple[HubLink, Dispatchers]]:
+    """List what names anybody, in an order that is alike on all instances."""
+    for link in sorted(links, key=lambda link: link.address):
+        if now_s - link.dispatchers_told_s >= _TOLD_S:
+            continue
+        for one in link.dispatchers:
+            if one.addresses:
+                yield link, one
+
+
 class DispatcherDirectory:
     """What a control instance tells of dispatchers.
 
@@ -140,6 +173,8 @@
         self._list_runs = list_runs
         self._list_controls = list_controls
         self._now_s = now_s
+        #: Before it has heard its entry instances it would choose among a few of them.
+        self._chooses_from_s = now_s() + _HEARD_S
         self._known: Sequence[Dispatchers] = ()
 
     def __call__(self) -> Sequence[Dispatchers]:
@@ -155,12 +190,12 @@
     def refresh(self) -> None:
         """Choose anew; to be called a few times a second."""
         now_s = self._now_s()
-        own = choose_for_domain(
-            self._failure_domain,
-            self._entries_in_sight(),
-            count_slots(self._list_runs(), self._failure_domain),
-            now_s,
-        )
-        merged = merge_dispatchers(self._list_controls(), now_s)
-        merged[self._failure_domain] = own
-        self._known = [merged[domain] for domain in sorted(merged)]
+        heard = list_first_hand(self._list_controls(), now_s)
+        if now_s >= self._chooses_from_s:
+            heard[self._failure_domain] = choose_for_domain(
+                self._failure_domain,
+                self._entries_in_sight(),
+                count_slots(self._list_runs(), self._failure_domain),
+                now_s,
+            )
+        self._known = [heard[domain] for domain in sorted(heard)]
