--- a/src/agatethread/datapath/_dispatching.py
+++ b/src/agatethread/datapath/_dispatching.py
@@ -11,7 +11,7 @@
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import inf
 
 from agatethread.balancing import (
@@ -19,7 +19,6 @@
     Opening,
     Verdict,
     WaitingLine,
-    expected_wait_s,
     judge_opening,
 )
 from agatethread.datapath._backend import Backend
@@ -28,23 +27,22 @@
 from agatethread.datapath._packets import FlowKey, Packet, pack_flow
 from agatethread.datapath._places import PlaceCounts
 from agatethread.datapath._placing import choose_place
+from agatethread.datapath._telling import LOAD_PAUSE_S, SIGN_PAUSE_S, LoadTeller
 from agatethread.observability import Counters, Event, Histogram, make_logger
 from agatethread.routing import Route
 from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire.registry_pb2 import (
-    DispatcherLoad,
     RegistryMessage,
     RelayedOpening,
+    ReturnedOpening,
     WorkEnded,
 )
 
 #: Usual times that an answer may take: most take less than twice as long.
 _ANSWER_TIMES = 2.0
-#: Pause between two times that an instance is told how busy this is: a tenth of the
-#: time after which it must know that an opening is not lost but waits.
-_TELL_PAUSE_S = 0.02
-#: Longest wait that is told; longer than any caller's patience.
-_LONGEST_TOLD_S = 3_600.0
+#: What comes again sooner than this is the same packet: a caller sends its first copy
+#: after 0.2 s, and uses its port anew later than that.
+_SAME_PACKET_S = 0.15
 
 log = make_logger("dispatcher")
 
@@ -77,11 +75,20 @@
     """An opening that was relayed to this instance."""
 
     packet: Packet
-    service: str
+    relayed: RelayedOpening
+    #: Packed address of the instance that relayed it.
+    sender: bytes
     opening: Opening
-    tried: tuple[Backend, ...]
-    #: Whether it may go to another failure domain; it does so once at most.
-    may_leave: bool
+    tried: tuple[Backend, ...] = ()
+
+    @property
+    def service(self) -> str:
+        return self.relayed.service
+
+    @property
+    def may_leave(self) -> bool:
+        """Whether it may go to another failure domain; it does so once at most."""
+        return not self.relayed.hops
 
 
 class OpeningDispatcher:
@@ -124,8 +131,7 @@
         self._policies = policies
         self._lines: dict[str, WaitingLine[_Taken]] = {}
         self._places = PlaceCounts(now_s)
-        #: When each instance was told last how busy this is.
-        self._told_s: dict[tuple[str, bytes], float] = {}
+        self._teller = LoadTeller(self._load_of, hands.send, now_s)
         #: How long callers of openings that were placed here had waited.
         self.waited_s = Histogram()
 
@@ -172,13 +178,26 @@
         sender : bytes
             Packed address of the instance that relayed it.
         """
-        line = self._line_of(relayed.service)
-        if packet.key in line:
+        pause_s = LOAD_PAUSE_S if relayed.hops else SIGN_PAUSE_S
+        if not self._is_same_packet(packet):
+            self._take(packet, route, relayed, sender)
+        if relayed.hops or packet.key in self._line_of(relayed.service):
+            self._teller.tell(relayed.service, sender, pause_s)
+
+    def _is_same_packet(self, packet: Packet) -> bool:
+        """Tell whether this only repeats what has been placed just now."""
+        placed = self._places.find(packet.key)
+        if placed is None or packet.copy:
+            return False
+        return self._now_s() - placed.since_s < _SAME_PACKET_S
+
+    def _take(
+        self, packet: Packet, route: Route, relayed: RelayedOpening, sender: bytes
+    ) -> None:
+        if packet.key in self._line_of(relayed.service):
             # Copies of one opening take one place.
-            self._tell_load(relayed.service, sender)
             return
         now_s = self._now_s()
-        tried = self._take_back(packet.key, now_s)
         opening = Opening(
             urgency=route.urgency,
             asked_s=now_s - relayed.waited_ms / 1000,
@@ -187,15 +206,20 @@
             timeout_s=route.timeout_s,
             caller=packet.key.caller,
         )
-        taken = _Taken(packet, relayed.service, opening, tried, not relayed.hops)
-        self._decide(taken)
-        if relayed.hops or packet.key in line:
-            self._tell_load(relayed.service, sender)
+        taken = _Taken(packet, relayed, sender, opening)
+        address = self._others.find_given(packet.key, relayed.service)
+        if packet.copy and address is not None:
+            # It waits or is tried there, and the copy joins it.
+            self._hand_over(taken, address)
+            return
+        self._others.take_given(packet.key)
+        self._decide(replace(taken, tried=self._take_back(packet, now_s)))
 
-    def _take_back(self, key: FlowKey, now_s: float) -> tuple[Backend, ...]:
+    def _take_back(self, packet: Packet, now_s: float) -> tuple[Backend, ...]:
         """Give back the place of an opening whose copy has come."""
-        placed = self._places.release(key)
-        if placed is None:
+        placed = self._places.release(packet.key)
+        if placed is None or not packet.copy:
+            # Without a copy it was another flow from the same port.
             return ()
         placed.backend.fail(placed.since_s, now_s)
         return (*placed.tried, placed.backend)
@@ -239,7 +263,7 @@
         if backend is None:
             return False
         key = taken.packet.key
-        self._places.take(key, backend, taken.service, taken.tried)
+        self._places.take(key, backend, taken.service, taken.tried, taken.sender)
         waited_s = now_s - taken.opening.asked_s
         self.waited_s.record(waited_s)
         self._counters[f"openings_dispatched_urgency_{taken.opening.urgency}"] += 1
@@ -301,6 +325,8 @@
         if placed is None:
             self._drop_waiting(key)
             return
+        if placed.since_s >= placed.backend.unanswered_s:
+            placed.backend.answer(self._now_s())
         self._fill(placed.service)
 
     def _drop_waiting(self, key: FlowKey) -> None:
@@ -321,11 +347,34 @@
     def tick(self) -> None:
         """Refuse what can't be served any more; to be called some 20 times a second."""
         now_s = self._now_s()
-        self._counters["places_given_up"] += self._places.give_up()
-        for service, line in self._lines.items():
+        for placed in self._places.give_up():
+            self._counters["places_given_up"] += 1
+            placed.backend.fail(placed.since_s, now_s)
+        for service, line in list(self._lines.items()):
             for taken in line.take_expired(now_s):
                 self._refuse(taken)
             self._fill(service)
+            if not self._servers_of(service):
+                self._give_back(line)
+        for placed in self._places.list_aged(SIGN_PAUSE_S, 2 * SIGN_PAUSE_S):
+            # Else it would seem that this instance is gone where a server is.
+            self._teller.tell(placed.service, placed.sender, SIGN_PAUSE_S)
+        self._teller.tick()
+
+    def _give_back(self, line: "WaitingLine[_Taken]") -> None:
+        """Let senders place those that wait for servers that are gone from here."""
+        while (taken := line.pop(self._now_s())) is not None:
+            self._counters["openings_given_back"] += 1
+            returned = ReturnedOpening(opening=taken.relayed)
+            self._hands.send(RegistryMessage(returned=returned), taken.sender)
+
+    def forget(self) -> None:
+        """Forget all openings, after a pause in which this instance did not run.
+
+        Their ends came meanwhile or never will, and copies found another way.
+        """
+        self._lines.clear()
+        self._places.clear()
 
     # -- load ---------------------------------------------------------------------
 
@@ -342,26 +391,7 @@
         servers = self._servers_of(service)
         return self._places.load(service, servers, len(self._line_of(service)))
 
-    def _tell_load(self, service: str, target: bytes) -> None:
-        """Tell how busy this is; to one whose opening waits, that it is alive."""
-        now_s = self._now_s()
-        if now_s - self._told_s.get((service, target), -inf) < _TELL_PAUSE_S:
-            return
-        self._told_s[service, target] = now_s
-        load = self._load_of(service)
-        wait_s = expected_wait_s(load, load.waiting_count)
-        told = DispatcherLoad(
-            service=service,
-            free=load.free_count,
-            waiting=load.waiting_count,
-            wait_ms=round(1000 * min(wait_s, _LONGEST_TOLD_S)),
-        )
-        self._hands.send(RegistryMessage(load=told), target)
-
     def sweep(self) -> None:
         """Forget what is over; to be called about once a second."""
         self._others.sweep()
-        oldest_s = self._now_s() - _TELL_PAUSE_S
-        self._told_s = {
-            key: told_s for key, told_s in self._told_s.items() if told_s >= oldest_s
-        }
+        self._teller.sweep()
--- a/src/agatethread/datapath/_elsewhere.py
+++ b/src/agatethread/datapath/_elsewhere.py
@@ -141,6 +141,27 @@
         self._asked_s[service] = now_s
         self._given[key] = (address, now_s)
 
+    def find_given(self, key: FlowKey, service: str) -> bytes | None:
+        """Tell where an opening was handed over to, if it is known to have arrived.
+
+        Parameters
+        ----------
+        key : FlowKey
+            Its flow.
+        service : str
+            Its service.
+
+        Returns
+        -------
+        bytes or None
+            The packed address; None if whoever it went to has said nothing since.
+        """
+        if key not in self._given:
+            return None
+        address, given_s = self._given[key]
+        load = self._loads.get((service, address))
+        return address if load and load.heard_s >= given_s else None
+
     def take_given(self, key: FlowKey) -> bytes | None:
         """Tell where an opening was handed over to, and forget it.
 
--- a/src/agatethread/datapath/_places.py
+++ b/src/agatethread/datapath/_places.py
@@ -18,6 +18,9 @@
 _GIVEN_UP_AFTER = 10.0
 _SOONEST_GIVEN_UP_S = 0.3
 _LATEST_GIVEN_UP_S = 3.0
+#: How long ends are still learned from after that: else places of a service whose work
+#: is longer than was expected would be given up too soon for ever.
+_LEARNED_FROM_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +32,8 @@
     since_s: float
     #: Runs that got it before and did not answer.
     tried: tuple[Backend, ...]
+    #: Packed address of the instance that relayed it.
+    sender: bytes = b""
 
 
 class PlaceCounts:
@@ -43,6 +48,8 @@
     def __init__(self, now_s: Callable[[], float]):
         self._now_s = now_s
         self._placed: dict[FlowKey, Placed] = {}
+        #: Those whose places were given up.
+        self._late: dict[FlowKey, Placed] = {}
         self._in_progress: dict[Backend, int] = {}
         self._usual_s: dict[str, float] = {}
 
@@ -54,8 +61,28 @@
         """Count what each server has; those with nothing are left out."""
         return self._in_progress
 
+    def find(self, key: FlowKey) -> Placed | None:
+        """Find what has a place.
+
+        Parameters
+        ----------
+        key : FlowKey
+            Its flow.
+
+        Returns
+        -------
+        Placed or None
+            None if nothing has.
+        """
+        return self._placed.get(key)
+
     def take(
-        self, key: FlowKey, backend: Backend, service: str, tried: tuple[Backend, ...]
+        self,
+        key: FlowKey,
+        backend: Backend,
+        service: str,
+        tried: tuple[Backend, ...] = (),
+        sender: bytes = b"",
     ) -> None:
         """Note that an opening got a place.
 
@@ -67,10 +94,13 @@
             Where.
         service : str
             Of the server.
-        tried : tuple of Backend
+        tried : tuple of Backend, optional
             Runs that got the opening before and did not answer.
+        sender : bytes, optional
+            Packed address of the instance that relayed it.
         """
-        self._placed[key] = Placed(backend, service, self._now_s(), tried)
+        self._late.pop(key, None)
+        self._placed[key] = Placed(backend, service, self._now_s(), tried, sender)
         self._in_progress[backend] = self._in_progress.get(backend, 0) + 1
 
     def release(self, key: FlowKey) -> Placed | None:
@@ -110,29 +140,61 @@
             What had it; None if nothing has.
         """
         placed = self.release(key)
-        if placed is not None:
-            usual_s = self.usual_s(placed.service)
-            change_s = self._now_s() - placed.since_s - usual_s
-            self._usual_s[placed.service] = usual_s + change_s * _PLACE_TIME_WEIGHT
+        known = placed or self._late.pop(key, None)
+        if known is not None:
+            usual_s = self.usual_s(known.service)
+            change_s = self._now_s() - known.since_s - usual_s
+            self._usual_s[known.service] = usual_s + change_s * _PLACE_TIME_WEIGHT
         return placed
 
-    def give_up(self) -> int:
+    def list_aged(self, least_s: float, below_s: float) -> list[Placed]:
+        """List what has had its place for some time.
+
+        Parameters
+        ----------
+        least_s, below_s : float
+            For how long at least, and less than that.
+
+        Returns
+        -------
+        list of Placed
+            Mostly few.
+        """
+        now_s = self._now_s()
+        return [
+            placed
+            for placed in self._placed.values()
+            if least_s <= now_s - placed.since_s < below_s
+        ]
+
+    def give_up(self) -> list[Placed]:
         """Give back the places whose end should have been told long ago.
 
         Returns
         -------
-        int
-            How many.
+        list of Placed
+            What had them.
         """
         now_s = self._now_s()
-        late = [
-            key
+        late = {
+            key: placed
             for key, placed in self._placed.items()
             if now_s - placed.since_s > self._longest_s(placed.service)
-        ]
+        }
         for key in late:
             self.release(key)
-        return len(late)
+        self._late = {
+            key: placed
+            for key, placed in (self._late | late).items()
+            if now_s - placed.since_s < _LEARNED_FROM_S
+        }
+        return list(late.values())
+
+    def clear(self) -> None:
+        """Forget what has a place; what was learned stays."""
+        self._placed.clear()
+        self._late.clear()
+        self._in_progress.clear()
 
     def _longest_s(self, service: str) -> float:
         longest_s = max(_GIVEN_UP_AFTER * self.usual_s(service), _SOONEST_GIVEN_UP_S)
--- a/src/agatethread/datapath/_relaying.py
+++ b/src/agatethread/datapath/_relaying.py
@@ -8,8 +8,10 @@
 """
 
 import random
+from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from math import inf
 
 from agatethread.balancing import PressureGauge
 from agatethread.datapath._backend import Backend
@@ -29,6 +31,11 @@
 #: Nothing is told of a relayed flow whose end was not seen here for so long: its
 #: packets may come through another instance, and its dispatcher has given it up.
 _FORGET_S = 5.0
+#: A relayed opening counts as being on its way for so long after its caller sent it or
+#: a copy last: copies come 0.2 and 0.4 s apart, and a refused caller sends none.
+_ON_ITS_WAY_S = 0.45
+#: What comes again sooner than this is the same packet, not a port that is used anew.
+_SAME_PACKET_S = 0.15
 #: Relayed openings remembered: those of 5 s at ten times what an instance can forward.
 _MOST_RELAYED = 20_000
 
@@ -44,6 +51,8 @@
     #: Whether a packet of the flow has shown that it was placed.
     placed: bool = False
     busy: bool = False
+    #: Whether it counts as being on its way.
+    counted: bool = False
 
 
 class OpeningRelay:
@@ -78,13 +87,16 @@
         self._counters = counters
         self._gauge = PressureGauge()
         self._relayed: dict[FlowKey, _Relayed] = {}
-        #: Relayed openings of each service that no packet has shown to be placed yet.
+        #: Relayed openings of each service that no packet has shown to be placed yet,
+        #: and those that were sent lately, the oldest first.
         self._on_their_way: dict[str, int] = {}
-        #: When each dispatcher last showed that it places, and until when one that did
-        #: not gets nothing.
+        self._sent: deque[tuple[float, _Relayed]] = deque()
+        #: Until when each dispatcher is known to have placed, or held, what it got.
         self._alive_s: dict[bytes, float] = {}
-        self._distrusted_until_s: dict[bytes, float] = {}
+        #: When those that did not got what they lost, and until when they get nothing.
+        self._distrusted_s: dict[bytes, tuple[float, float]] = {}
         self._pressed: set[str] = set()
+        self._awake_since_s = now_s()
 
     def __len__(self) -> int:
         return len(self._relayed)
@@ -111,6 +123,8 @@
         now_s = self._now_s()
         known = self._relayed.get(packet.key)
         if known is not None and not packet.copy:
+            if now_s - known.first_s < _SAME_PACKET_S:
+                return True
             # The port is used anew.
             self._forget(packet.key)
             known = None
@@ -121,20 +135,25 @@
         dispatcher = known.dispatcher if known else self._draw(service, now_s)
         if dispatcher is None or len(self._relayed) >= _MOST_RELAYED:
             return False
-        first_s = known.first_s if known else now_s
         if known is None:
-            self._relayed[packet.key] = _Relayed(dispatcher, service, now_s, now_s)
-            self._count_on_its_way(service, 1)
-        else:
-            known.last_s = now_s
-        self._send_opening(packet, service, table_version, dispatcher, first_s)
+            known = _Relayed(dispatcher, service, now_s, now_s)
+            self._relayed[packet.key] = known
+        known.last_s = now_s
+        self._count(known)
+        # A copy asks for the service that was drawn for its opening.
+        self._send_opening(packet, known, table_version)
         return True
 
     def _still_trusts(self, packet: Packet, known: _Relayed, now_s: float) -> bool:
         """Decide whether a copy goes where its opening went."""
         if self._alive_s.get(known.dispatcher, 0.0) >= known.last_s:
             return True
-        self._distrusted_until_s[known.dispatcher] = now_s + _DISTRUST_S
+        if known.last_s < self._awake_since_s:
+            # Whatever it said came while this instance did not run.
+            self._forget(packet.key)
+            return False
+        distrusted_s = (known.last_s, now_s + _DISTRUST_S)
+        self._distrusted_s[known.dispatcher] = distrusted_s
         self._counters["dispatchers_silent"] += 1
         log.warning(
             Event.DISPATCHER_SILENT,
@@ -158,39 +177,36 @@
         return None if self._is_distrusted(drawn, now_s) else drawn
 
     def _is_distrusted(self, dispatcher: bytes, now_s: float) -> bool:
-        return self._distrusted_until_s.get(dispatcher, now_s) > now_s
+        _, until_s = self._distrusted_s.get(dispatcher, (now_s, now_s))
+        return until_s > now_s
 
     def _send_opening(
-        self,
-        packet: Packet,
-        service: str,
-        table_version: int,
-        dispatcher: bytes,
-        first_s: float,
+        self, packet: Packet, known: _Relayed, table_version: int
     ) -> None:
-        waited_s = self._now_s() - first_s
+        waited_s = self._now_s() - known.first_s
         log.info(
             Event.OPENING_RELAYED,
             flow=str(packet.key),
             copy=packet.copy,
-            service=service,
-            dispatcher=dispatcher.hex(),
+            service=known.service,
+            dispatcher=known.dispatcher.hex(),
             waited_s=round(waited_s, 3),
             table_version=table_version,
         )
         self._counters["openings_relayed"] += 1
         opening = RelayedOpening(
             packet=packet.data,
-            service=service,
+            service=known.service,
             table_version=table_version,
             waited_ms=round(1000 * waited_s),
         )
-        self._send(RegistryMessage(relayed=opening), dispatcher)
+        self._send(RegistryMessage(relayed=opening), known.dispatcher)
 
     # -- pressure -----------------------------------------------------------------
 
     def _is_pressed(self, service: str, now_s: float) -> bool:
         """Decide whether so many slots are in use that placing is shared."""
+        self._uncount_old(now_s)
         in_flight_count = sum(one.in_flight for one in self._runs_of(service))
         pressed = self._gauge.is_high(
             service,
@@ -229,55 +245,85 @@
             return
         if not known.placed:
             known.placed = True
-            self._count_on_its_way(known.service, -1)
-        self.note_alive(known.dispatcher)
+            self._uncount(known)
+            self.note_alive(known.dispatcher, known.last_s)
         if over or (known.busy and not busy):
             self._tell_end(key, known.dispatcher)
             self._forget(key)
         known.busy = busy
 
-    def note_alive(self, dispatcher: bytes) -> None:
-        """Note that a dispatcher places openings, or has them wait.
+    def note_alive(self, dispatcher: bytes, since_s: float) -> None:
+        """Note that a dispatcher placed an opening, or has some wait.
 
         Parameters
         ----------
         dispatcher : bytes
             Its packed address.
+        since_s : float
+            When it is known to have lived: no later than it got the opening.
         """
-        self._alive_s[dispatcher] = self._now_s()
-        self._distrusted_until_s.pop(dispatcher, None)
+        self._alive_s[dispatcher] = max(since_s, self._alive_s.get(dispatcher, -inf))
+        lost_s, _ = self._distrusted_s.get(dispatcher, (inf, 0.0))
+        if since_s >= lost_s:
+            del self._distrusted_s[dispatcher]
 
     def _tell_end(self, key: FlowKey, dispatcher: bytes) -> None:
         self._send(RegistryMessage(ended=WorkEnded(flows=[pack_flow(key)])), dispatcher)
 
-    def take_back(self, key: FlowKey) -> None:
+    def take_back(self, key: FlowKey) -> bool:
         """Note that a dispatcher does not place an opening; this instance does.
 
         Parameters
         ----------
         key : FlowKey
             Its flow.
+
+        Returns
+        -------
+        bool
+            False if that is no news: it has been placed, or given back before.
         """
-        self._counters["openings_returned"] += 1
         known = self._relayed.get(key)
-        if known is not None:
-            self.note_alive(known.dispatcher)
-            self._forget(key)
+        if known is None or known.placed:
+            return False
+        self._counters["openings_returned"] += 1
+        self.note_alive(known.dispatcher, known.last_s)
+        self._forget(key)
+        return True
 
     def _forget(self, key: FlowKey) -> None:
-        known = self._relayed.pop(key)
-        if not known.placed:
-            self._count_on_its_way(known.service, -1)
-
-    def _count_on_its_way(self, service: str, change: int) -> None:
-        self._on_their_way[service] = self._on_their_way.get(service, 0) + change
+        self._uncount(self._relayed.pop(key))
+
+    def _count(self, known: _Relayed) -> None:
+        if not known.counted:
+            known.counted = True
+            count = self._on_their_way.get(known.service, 0)
+            self._on_their_way[known.service] = count + 1
+        self._sent.append((known.last_s, known))
+
+    def _uncount(self, known: _Relayed) -> None:
+        if known.counted:
+            known.counted = False
+            self._on_their_way[known.service] -= 1
+
+    def _uncount_old(self, now_s: float) -> None:
+        """Count no longer those that were lost, or whose callers were refused."""
+        while self._sent and now_s - self._sent[0][0] > _ON_ITS_WAY_S:
+            sent_s, known = self._sent.popleft()
+            if known.last_s == sent_s:
+                self._uncount(known)
+
+    def wake(self) -> None:
+        """Judge nobody by what was sent before a pause of this instance."""
+        self._awake_since_s = self._now_s()
 
     def sweep(self) -> None:
         """Forget what was relayed long ago; to be called about once a second."""
+        self._uncount_old(self._now_s())
         oldest_s = self._now_s() - _FORGET_S
         for key, known in list(self._relayed.items()):
             if known.last_s < oldest_s:
                 self._forget(key)
-        for by_dispatcher in (self._alive_s, self._distrusted_until_s):
+        for by_dispatcher in (self._alive_s, self._distrusted_s):
             for dispatcher in set(by_dispatcher) - set(self._groups.dispatchers):
                 del by_dispatcher[dispatcher]
--- a/src/agatethread/datapath/_shared_placing.py
+++ b/src/agatethread/datapath/_shared_placing.py
@@ -23,6 +23,12 @@
     ReturnedOpening,
 )
 
+#: A pause in which this instance can't have run: its timers call it each 0.05 s. What
+#: was relayed to it before is of no use, since callers' copies come after 0.2 s.
+_PAUSE_S = 0.2
+#: How long it takes to read what had come to its socket meanwhile.
+_CATCH_UP_S = 0.1
+
 
 class SharedPlacing:
     """Handles what entry instances tell each other of openings.
@@ -74,6 +80,10 @@
         self._send_away = hands.send
         self._place_here = place_here
         self._counters = counters
+        self._now_s = now_s
+        self._ran_s = now_s()
+        #: Until when what is read may be as old as the last pause.
+        self._behind_until_s = now_s()
         self._groups = ServerGroups(failure_domain, runs_of, may_take, now_s)
         self._others = OtherDomains(failure_domain, now_s)
         own_hands = Hands(hands.forward, hands.refuse, self._send, hands.table_version)
@@ -121,6 +131,8 @@
         bool
             False if this instance is to place it.
         """
+        if self._is_behind():
+            return False
         return self._relay.relay(packet, service, self._table().version)
 
     def note_packet(self, key: FlowKey, busy: bool, over: bool) -> None:
@@ -154,15 +166,18 @@
         DatagramError
             If a packet in it is none.
         """
+        is_behind = self._is_behind()
         body = message.WhichOneof("body")
-        if body == "relayed":
+        if body == "relayed" and is_behind:
+            self._counters["relayed_too_old"] += 1
+        elif body == "relayed":
             self._on_relayed(message.relayed, source)
         elif body == "returned":
             self._on_returned(message.returned)
         elif body == "ended":
             self._on_ended(message)
         elif body == "load":
-            self._relay.note_alive(source)
+            self._relay.note_alive(source, self._now_s())
             self._others.on_load(message.load, source)
 
     def _on_relayed(self, relayed: RelayedOpening, source: bytes) -> None:
@@ -191,11 +206,12 @@
         opening = returned.opening
         packet = self._decode(opening.packet)
         if not opening.hops:
-            self._relay.take_back(packet.key)
-            self._place_here(packet)
+            if self._relay.take_back(packet.key):
+                self._place_here(packet)
             return
         # It was handed over from here to another failure domain.
-        self._others.take_given(packet.key)
+        if self._others.take_given(packet.key) is None:
+            return
         route = self._find_route(packet, opening)
         if route is not None and self.dispatcher.places_for(opening.service):
             self.dispatcher.take(packet, route, opening, self._own_address)
@@ -212,8 +228,19 @@
 
     # -- time ---------------------------------------------------------------------
 
+    def _is_behind(self) -> bool:
+        """Tell whether what is read now may have come before a pause."""
+        now_s = self._now_s()
+        if now_s - self._ran_s > _PAUSE_S:
+            self._behind_until_s = now_s + _CATCH_UP_S
+            self.dispatcher.forget()
+            self._relay.wake()
+        self._ran_s = now_s
+        return now_s < self._behind_until_s
+
     def tick(self) -> None:
         """Place or refuse those who wait; to be called some 20 times a second."""
+        self._is_behind()
         self.dispatcher.tick()
 
     def sweep(self) -> None:
--- a/tests/datapath/test_shared_placing.py
+++ b/tests/datapath/test_shared_placing.py
@@ -1,257 +1,12 @@
-import heapq
-import random
 import unittest
-from dataclasses import replace
+from collections import Counter
 from unittest import mock
 
-from agatethread.datapath import BackendView, LabelForwarder
-from agatethread.datapath._dispatching import Hands
-from agatethread.datapath._placing import count_places, may_take_work
-from agatethread.datapath._shared_placing import SharedPlacing
-from agatethread.observability import Counters
-from agatethread.routing import Route, RouteTable, Target
-from agatethread.wire.registry_pb2 import Dispatchers, RegistryMessage
-from tests.datapath.worlds import CODEC, HOST, opening, packet, run
-from tests.fakes import Clock, address
-
-#: Ports of the urgent route and of the other.
-URGENT, OTHER = 443, 444
-#: One way inside a failure domain, to another one, and to a caller and back.
-NEAR_S, FAR_S, CALLER_S = 0.0001, 0.0014, 0.006
-#: What a backend server works on at once, and what waits there before it sheds.
-SLOTS, QUEUE = 2, 8
-
-
-def route(urgency):
-    """A route of the tab service."""
-    target = (Target("tab", 1),)
-    return Route(target, frozenset({"tab"}), False, urgency, 0.4, 2.0)
-
-
-def make_table(version=1):
-    """An urgent route and one that is not."""
-    routes = {(HOST, URGENT): route(1), (HOST, OTHER): route(2)}
-    return RouteTable(version, routes)
-
-
-class World:
-    """Entry instances, backend servers and callers of some failure domains.
-
-    Callers open a flow, send their request when its server answered the opening, and
-    end the flow with the answer. A shed or refused one is back at once, twice.
-    """
-
-    def __init__(self, domains="a", entries=8, servers=8, shares=True, seed=1):
-        self.clock = Clock(0.0)
-        self.draw = random.Random(seed)
-        self.events, self.number, self.caller_count = [], 0, 0
-        self.cut, self.lost = set(), 0.0
-        self.outcomes = {}
-        self.shed_count = self.arrival_count = 0
-        self.entries, self.domain_of = {}, {}
-        self.packets = {}
-        self.servers = {
-            1 + nth: [domain, 0, []] for nth, domain in enumerate(domains * servers)
-        }
-        for nth, domain in enumerate(domains * entries):
-            self.add_entry(address(1_000 + nth), domain)
-        self.shares = shares
-        self.choose()
-
-    def later(self, delay_s, call, *arguments):
-        self.number += 1
-        due_s = self.clock() + delay_s
-        heapq.heappush(self.events, (due_s, self.number, call, arguments))
-
-    def add_entry(self, place, domain):
-        counters = Counters()
-        view = BackendView(self.clock, counters)
-        codec = replace(CODEC, decode=lambda data: self.packets.get(data, data))
-
-        def send(data, target, key, sequence):
-            self.on_sent(place, data, key)
-
-        forwarder = LabelForwarder(
-            codec, view, domain, send, self.clock, counters, 10_000, lambda: True
-        )
-        hands = Hands(
-            forwarder.forward_opening,
-            forwarder.refuse,
-            lambda message, target: self.tell(place, message, target),
-            lambda: forwarder.table.version,
-        )
-        forwarder.shared_placing = SharedPlacing(
-            place,
-            domain,
-            view.of_service,
-            may_take_work,
-            codec.decode,
-            lambda: forwarder.table,
-            hands,
-            forwarder.place_here,
-            self.clock,
-            counters,
-        )
-        for number, (server_domain, *_) in self.servers.items():
-            view.take(run(number, failure_domain=server_domain))
-        forwarder.take_table(make_table())
-        self.entries[place], self.domain_of[place] = forwarder, domain
-
-    def choose(self, each=2):
-        """Tell all instances the first few of each failure domain as dispatchers."""
-        if not self.shares:
-            return
-        told = {}
-        for domain in set(self.domain_of.values()):
-            near = [one for one, place in self.domain_of.items() if place == domain]
-            near = [one for one in near if one not in self.cut]
-            told[domain] = Dispatchers(
-                failure_domain=domain, addresses=near[:each], entry_count=len(near)
-            )
-        for forwarder in self.entries.values():
-            forwarder.shared_placing.take_dispatchers(told)
-
-    # -- the network --------------------------------------------------------------
-
-    def tell(self, source, message, target):
-        if {source, target} & self.cut or self.draw.random() < self.lost:
-            return
-        near = self.domain_of[source] == self.domain_of[target]
-        data = message.SerializeToString()
-        self.later(NEAR_S if near else FAR_S, self.on_told, target, data, source)
-
-    def on_told(self, target, data, source):
-        if target not in self.cut:
-            message = RegistryMessage.FromString(data)
-            self.entries[target].shared_placing.on_message(message, source)
-
-    def on_sent(self, place, data, key):
-        if data[0] == "reset":
-            self.later(CALLER_S / 2, self.on_refused, key)
-        elif place not in self.cut:
-            self.later(NEAR_S, self.on_server, data[1], key)
-
-    # -- backend servers ----------------------------------------------------------
-
-    def on_server(self, number, key):
-        """Take an opening; the request follows it after a round trip to the caller."""
-        caller = self.outcomes[key]
-        if caller["server"] is None:
-            caller["server"] = number
-            self.later(CALLER_S, self.on_request, number, key)
-
-    def on_request(self, number, key):
-        server = self.servers[number]
-        self.arrival_count += 1
-        self.see(key, number, 10, payload_bytes=100)
-        if server[1] >= SLOTS + QUEUE:
-            self.shed_count += 1
-            self.later(CALLER_S, self.see, key, number, 20, True)
-            self.later(CALLER_S, self.on_refused, key)
-            return
-        server[1] += 1
-        server[2].append(key)
-        if server[1] <= SLOTS:
-            self.work(number)
-
-    def work(self, number):
-        key = self.servers[number][2].pop(0)
-        self.later(0.0175 * self.draw.uniform(0.5, 1.5), self.on_done, number, key)
-
-    def on_done(self, number, key):
-        self.servers[number][1] -= 1
-        if self.servers[number][2]:
-            self.work(number)
-        self.later(CALLER_S, self.on_answer, number, key)
-
-    # -- callers ------------------------------------------------------------------
-
-    def call(self, port, domain, tries=3, first_s=None):
-        """Let a caller ask through an instance of its failure domain."""
-        near = [one for one, place in self.domain_of.items() if place == domain]
-        self.caller_count += 1
-        key = packet(self.caller_count % 60_000).key
-        key = key._replace(caller=self.caller_count // 60_000, port=port)
-        one = opening(key=key)
-        data = self.caller_count.to_bytes(8, "big")
-        self.packets[data] = one = one._replace(data=data)
-        self.outcomes[one.key] = {
-            "entry": self.draw.choice(near),
-            "domain": domain,
-            "port": port,
-            "first_s": self.clock() if first_s is None else first_s,
-            "tries": tries,
-            "server": None,
-            "answer_s": None,
-            "refused": False,
-        }
-        for copy, delay_s in enumerate((0.0, 0.2, 0.6)):
-            self.later(delay_s, self.ask, one._replace(copy=copy))
-        return one.key
-
-    def ask(self, one):
-        caller = self.outcomes[one.key]
-        if caller["server"] or caller["refused"] or caller["entry"] in self.cut:
-            return
-        self.packets[one.data] = one
-        self.entries[caller["entry"]].on_datagram(one, ("router", 1))
-
-    def see(self, key, number, acknowledged, closes=False, payload_bytes=0):
-        """A packet of the caller's passes its instance."""
-        one = packet(key.caller_port, number, key=key, acknowledged=acknowledged)
-        one = one._replace(closes=closes, payload_bytes=payload_bytes)
-        self.entries[self.outcomes[key]["entry"]].on_datagram(one, ("router", 1))
-
-    def on_answer(self, number, key):
-        caller = self.outcomes[key]
-        caller["answer_s"] = self.clock() - caller["first_s"]
-        self.see(key, number, 600)
-        self.see(key, number, 601, closes=True)
-
-    def on_refused(self, key):
-        caller = self.outcomes[key]
-        caller["refused"] = True
-        if caller["tries"] > 1:
-            left, first_s = caller["tries"] - 1, caller["first_s"]
-            self.call(caller["port"], caller["domain"], left, first_s)
-            caller["tries"] = 0
-
-    # -- time ---------------------------------------------------------------------
-
-    def crowd(self, per_s, seconds, urgent_ratio=1 / 3, domains="a"):
-        """Let callers come at random."""
-        at_s = 0.0
-        while at_s < seconds:
-            at_s += self.draw.expovariate(per_s)
-            port = URGENT if self.draw.random() < urgent_ratio else OTHER
-            self.later(at_s, self.call, port, self.draw.choice(domains))
-
-    def run(self, seconds):
-        end_s, tick_s = self.clock() + seconds, self.clock()
-        while self.events and self.events[0][0] <= end_s:
-            due_s, _, call, arguments = heapq.heappop(self.events)
-            self.clock.value_s = due_s
-            if due_s - tick_s >= 0.05:
-                tick_s = due_s
-                for place, forwarder in self.entries.items():
-                    if place not in self.cut:
-                        forwarder.shared_placing.tick()
-            call(*arguments)
-        self.clock.value_s = end_s
-
-    def served(self, port=None, domain=None, aim_s=0.4):
-        """Share of the callers that were answered within the aim."""
-        callers = [
-            one
-            for one in self.outcomes.values()
-            if one["tries"] and port in (None, one["port"])
-            if domain in (None, one["domain"])
-        ]
-        in_time = [one for one in callers if (one["answer_s"] or 9.0) <= aim_s]
-        return len(in_time) / len(callers)
-
-    def count(self, name):
-        return sum(one._counters[name] for one in self.entries.values())
+from agatethread.datapath._placing import count_places
+from agatethread.wire.registry_pb2 import RegistryMessage
+from tests.datapath.crowds import ARCHIVE, OTHER, URGENT, World, make_table
+from tests.datapath.worlds import opening
+from tests.fakes import address
 
 
 class TestCrowd(unittest.TestCase):
@@ -358,3 +113,67 @@
         with mock.patch.object(world, "tell") as tell:
             forwarder.shared_placing.on_message(message, address(1_001))
         self.assertEqual(tell.call_args.args[1].WhichOneof("body"), "returned")
+
+    def test_servers_gone_without_a_word_cost_one_copy(self):
+        """A third of the servers dies in a crowd that the others can bear."""
+        world = World(entries=24, servers=9)
+        world.crowd(560, 4.0)
+        world.run(1.0)
+        world.mute = {1, 2, 3}
+        world.run(5.0)
+        self.assertGreater(world.served(), 0.985)
+        self.assertLess(world.shed_count, 0.01 * world.arrival_count)
+        self.assertEqual(world.count("dispatchers_silent"), 0)
+
+    def test_frozen_dispatcher_places_nothing_old(self):
+        """One that wakes after 2 s neither places nor refuses what came meanwhile."""
+        world = self.crowded()
+        frozen = next(iter(world.entries))
+        before = Counter(world.entries[frozen]._counters)
+        world.freeze(frozen)
+        after = world.entries[frozen]._counters - before
+        self.assertGreater(after["relayed_too_old"], 20)
+        acted = [name for name in after if name.startswith("openings_")]
+        self.assertEqual(acted, [])
+        world.choose()
+        world.run(3.0)
+        through = [one for one in world.outcomes.values() if one["entry"] != frozen]
+        late = [one for one in through if one["tries"] and (one["answer_s"] or 9) > 0.4]
+        self.assertLess(len(late), 0.05 * len(through))
+
+    def test_dispatcher_that_is_replaced_keeps_nobody(self):
+        """Those that wait at one that is chosen no more are placed by others."""
+        world = World(entries=24)
+        world.crowd(1_180, 4.0)
+        world.run(1.5)
+        told = world.told["a"]
+        former = world.entries[told.addresses[0]].shared_placing.dispatcher
+        self.assertGreater(former.waiting_count(), 0)
+        del told.addresses[0]
+        for forwarder in world.entries.values():
+            forwarder.shared_placing.take_dispatchers(world.told)
+        world.run(0.1)
+        self.assertEqual(former.waiting_count(), 0)
+
+
+class TestOtherLoads(unittest.TestCase):
+    def test_ramp(self):
+        """A crowd that grows from calm to nearly all slots within 2 s is served."""
+        world = World(entries=24)
+        for step in range(20):
+            world.crowd(90 + 40 * step, 0.1)
+            world.run(0.1)
+        world.crowd(850, 1.0)
+        world.run(3.0)
+        self.assertGreater(world.served(), 0.985)
+        self.assertLess(world.shed_count, 0.01 * world.arrival_count)
+
+    def test_burst_of_another_service_leaves_this_one_alone(self):
+        """Ten times too much for the archive costs the tab's callers nothing."""
+        world = World(entries=24, archives=2)
+        world.crowd(90, 3.0)
+        world.crowd(2_000, 2.0, ports=[ARCHIVE])
+        world.run(5.0)
+        self.assertGreater(world.served(URGENT), 0.995)
+        self.assertGreater(world.served(OTHER), 0.995)
+        self.assertLess(world.served(ARCHIVE), 0.5)
