--- a/src/agatethread/registry/_dispatchers.py
+++ b/src/agatethread/registry/_dispatchers.py
@@ -7,7 +7,7 @@
 instances that serve.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from agatethread.balancing import choose_dispatchers
 from agatethread.registry._link import HubLink
@@ -71,6 +71,72 @@
     ]
 
 
+def list_heard_by_others(
+    failure_domain: str, links: Iterable[HubLink], now_s: float
+) -> list[bytes]:
+    """List the entry instances that ask the domain's other control instances.
+
+    An entry instance may ask one of them only. If each chose among those that ask it,
+    a domain would have two sets of dispatchers for the same backend servers.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Its name.
+    links : iterable of HubLink
+        The control instances that answered lately.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    list of bytes
+        Their packed addresses.
+    """
+    return [
+        address
+        for link in links
+        if link.failure_domain == failure_domain
+        and now_s - link.serving_told_s < _HEARD_S
+        for address in link.serving
+    ]
+
+
+def choose_for_domain(
+    failure_domain: str,
+    entries: Iterable[tuple[bytes, Subscriber]],
+    slot_count: int,
+    now_s: float,
+    heard_by_others: Iterable[bytes] = (),
+) -> Dispatchers:
+    """Choose the dispatchers of a failure domain among its entry instances.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Its name.
+    entries : iterable of tuple of (bytes, Subscriber)
+        Entry instances by their packed addresses, also of other failure domains.
+    slot_count : int
+        Slots of the domain's backend servers.
+    now_s : float
+        Present time.
+    heard_by_others : iterable of bytes, optional
+        Those that other control instances of the domain hear.
+
+    Returns
+    -------
+    Dispatchers
+        Without addresses where nobody serves.
+    """
+    serving = {*list_serving(failure_domain, entries, now_s), *heard_by_others}
+    return Dispatchers(
+        failure_domain=failure_domain,
+        addresses=choose_dispatchers(sorted(serving), slot_count),
+        entry_count=len(serving),
+    )
+
+
 def merge_dispatchers(links: Iterable[HubLink], now_s: float) -> dict[str, Dispatchers]:
     """Merge what control instances told of the dispatchers of all failure domains.
 
@@ -87,19 +153,52 @@
         By failure domain: as a control instance of that domain says where one is heard,
         else as any other does.
     """
-    told = [link for link in links if now_s - link.dispatchers_told_s < _TOLD_S]
-    told.sort(key=lambda link: link.address)
+    links = list(links)
     merged: dict[str, Dispatchers] = {}
-    for link in told:
-        for one in link.dispatchers:
-            if one.failure_domain == link.failure_domain:
+    for by_its_own in (True, False):
+        for link, one in _told_lately(links, now_s):
+            if (one.failure_domain == link.failure_domain) is by_its_own:
                 merged.setdefault(one.failure_domain, one)
-    for link in told:
-        for one in link.dispatchers:
-            merged.setdefault(one.failure_domain, one)
     return merged
 
 
+def list_first_hand(links: Iterable[HubLink], now_s: float) -> dict[str, Dispatchers]:
+    """List what control instances told of the dispatchers of their own failure domain.
+
+    Only this may be told on: two that told each other what they had from a third would
+    keep it alive when that one is gone.
+
+    Parameters
+    ----------
+    links : iterable of HubLink
+        The control instances that answered lately.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    dict of str to Dispatchers
+        By failure domain.
+    """
+    heard: dict[str, Dispatchers] = {}
+    for link, one in _told_lately(links, now_s):
+        if one.failure_domain == link.failure_domain:
+            heard.setdefault(one.failure_domain, one)
+    return heard
+
+
+def _told_lately(
+    links: Iterable[HubLink], now_s: float
+) -> Iterator[tuple[HubLink, Dispatchers]]:
+    """List what names anybody, in an order that is alike on all instances."""
+    for link in sorted(links, key=lambda link: link.address):
+        if now_s - link.dispatchers_told_s >= _TOLD_S:
+            continue
+        for one in link.dispatchers:
+            if one.addresses:
+                yield link, one
+
+
 class DispatcherDirectory:
     """What a control instance tells of dispatchers.
 
@@ -130,6 +229,8 @@
         self._list_runs = list_runs
         self._list_controls = list_controls
         self._now_s = now_s
+        #: Before it has heard its entry instances it would choose among a few of them.
+        self._chooses_from_s = now_s() + _HEARD_S
         self._known: Sequence[Dispatchers] = ()
         self._serving: Sequence[bytes] = ()
 
@@ -157,21 +258,15 @@
         """Choose anew; to be called a few times a second."""
         now_s = self._now_s()
         domain, controls = self._failure_domain, list(self._list_controls())
-        self._serving = list_serving(domain, self._entries_in_sight(), now_s)
-        # An entry instance asks one of the domain's control instances, or all of them.
-        serving = set(self._serving).union(
-            *(
-                link.serving
-                for link in controls
-                if link.failure_domain == domain
-                and now_s - link.serving_told_s < _HEARD_S
+        entries = list(self._entries_in_sight())
+        self._serving = list_serving(domain, entries, now_s)
+        heard = list_first_hand(controls, now_s)
+        if now_s >= self._chooses_from_s:
+            heard[domain] = choose_for_domain(
+                domain,
+                entries,
+                count_slots(self._list_runs(), domain),
+                now_s,
+                list_heard_by_others(domain, controls, now_s),
             )
-        )
-        slot_count = count_slots(self._list_runs(), domain)
-        merged = merge_dispatchers(controls, now_s)
-        merged[domain] = Dispatchers(
-            failure_domain=domain,
-            addresses=choose_dispatchers(sorted(serving), slot_count),
-            entry_count=len(serving),
-        )
-        self._known = [merged[domain] for domain in sorted(merged)]
+        self._known = [heard[domain] for domain in sorted(heard)]
