--- a/src/agatethread/balancing/_dispatchers.py
+++ b/src/agatethread/balancing/_dispatchers.py
@@ -10,10 +10,10 @@
 
 from xxhash import xxh64_intdigest
 
-#: Slots for each dispatcher. With ten and more, servers of one dispatcher even out, so
-#: that an opening seldom waits while another's are free; with many more it would place
-#: more openings than a small instance and its link bear.
-_SLOTS_EACH = 12
+#: Slots for each dispatcher. With eight, servers of one dispatcher even out, so that an
+#: opening seldom waits while another's are free; with many more it would place more
+#: openings than a small instance and its link bear.
+_SLOTS_EACH = 8
 #: Entry instances for each dispatcher at least: the others serve callers only.
 _ENTRIES_EACH = 4
 #: What one poll's answer can name.
--- a/src/agatethread/datapath/_dispatching.py
+++ b/src/agatethread/datapath/_dispatching.py
@@ -56,8 +56,6 @@
     forward : callable
         Sends an opening to a backend server; also gets the runs that did not answer it,
         and how long its caller has waited.
-    refuse : callable
-        Tells a caller that its flow is not taken on, and why.
     send : callable
         Sends a registry message to a packed address.
     table_version : callable
@@ -65,7 +63,6 @@
     """
 
     forward: Callable[[Packet, Backend, Sequence[Backend], float], None]
-    refuse: Callable[[Packet, str], None]
     send: Callable[[RegistryMessage, bytes], None]
     table_version: Callable[[], int]
 
@@ -85,6 +82,11 @@
     def service(self) -> str:
         return self.relayed.service
 
+    @property
+    def origin(self) -> bytes:
+        """Packed address of the instance that its caller's packets reach."""
+        return self.relayed.origin or self.sender
+
     @property
     def may_leave(self) -> bool:
         """Whether it may go to another failure domain; it does so once at most."""
@@ -181,7 +183,7 @@
         pause_s = LOAD_PAUSE_S if relayed.hops else SIGN_PAUSE_S
         if not self._is_same_packet(packet):
             self._take(packet, route, relayed, sender)
-        if relayed.hops or packet.key in self._line_of(relayed.service):
+        if relayed.hops or self._places.find(packet.key) is None:
             self._teller.tell(relayed.service, sender, pause_s)
 
     def _is_same_packet(self, packet: Packet) -> bool:
@@ -284,7 +286,8 @@
             places=load.place_count,
             place_time_s=round(load.place_time_s, 4),
         )
-        self._hands.refuse(taken.packet, "no_room")
+        returned = ReturnedOpening(opening=taken.relayed, refused=True)
+        self._hands.send(RegistryMessage(returned=returned), taken.origin)
 
     def _hand_over(self, taken: _Taken, address: bytes) -> None:
         waited_s = self._now_s() - taken.opening.asked_s
@@ -303,6 +306,7 @@
             table_version=self._hands.table_version(),
             hops=1,
             waited_ms=round(1000 * max(0.0, waited_s)),
+            origin=taken.origin,
         )
         self._hands.send(RegistryMessage(relayed=relayed), address)
 
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -261,6 +261,8 @@
             has_ended=backend is not None and backend.ended,
         )
         if outcome is OpenFlowOutcome.FORWARD:
+            if self.shared_placing:
+                self.shared_placing.adopt(packet.key, backend, self.loads)
             self.loads.note(packet, backend, self._now_s())
             if self.shared_placing:
                 self._note_relayed(packet.key)
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -197,7 +197,6 @@
         now_s, forwarder = self.timers.now_s, self.forwarder
         hands = Hands(
             forward=forwarder.forward_opening,
-            refuse=forwarder.refuse,
             send=self._transport.send,
             table_version=lambda: forwarder.table.version,
         )
@@ -210,6 +209,7 @@
             lambda: forwarder.table,
             hands,
             forwarder.place_here,
+            forwarder.refuse,
             now_s,
             self.counters,
             self._settings.policies,
--- a/src/agatethread/datapath/_relaying.py
+++ b/src/agatethread/datapath/_relaying.py
@@ -4,11 +4,11 @@
 instances. Under pressure an instance relays an opening to a dispatcher of its failure
 domain; the answer and all later packets of the flow do without it. The caller's next
 packet shows that it was placed, and the end of its request is told back. A dispatcher
-that dies costs the openings on their way one copy each: that copy is placed here.
+that dies costs the openings on their way one copy each: that goes to another one.
 """
 
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from math import inf
@@ -24,9 +24,10 @@
     WorkEnded,
 )
 
-#: A dispatcher that let an opening wait for its caller's copy, and showed no sign of
-#: life since, gets none for so long: five times the pause between two polls by which
-#: control instances notice that it is gone.
+#: A dispatcher that let so many openings wait for their callers' copies, and showed no
+#: sign of life since, gets none for so long: one message may be lost, and control
+#: instances notice within a second that it is gone.
+_MISSES_BEFORE_DISTRUST = 2
 _DISTRUST_S = 2.0
 #: Nothing is told of a relayed flow whose end was not seen here for so long: its
 #: packets may come through another instance, and its dispatcher has given it up.
@@ -95,6 +96,8 @@
         self._alive_s: dict[bytes, float] = {}
         #: When those that did not got what they lost, and until when they get nothing.
         self._distrusted_s: dict[bytes, tuple[float, float]] = {}
+        #: Openings that each lost since it last showed that it lives.
+        self._misses: Counter[bytes] = Counter()
         self._pressed: set[str] = set()
         self._awake_since_s = now_s()
 
@@ -128,30 +131,50 @@
             # The port is used anew.
             self._forget(packet.key)
             known = None
-        if known is not None and not self._still_trusts(packet, known, now_s):
-            return False
         if known is None and (packet.copy or not self._is_pressed(service, now_s)):
             return False
-        dispatcher = known.dispatcher if known else self._draw(service, now_s)
-        if dispatcher is None or len(self._relayed) >= _MOST_RELAYED:
-            return False
+        if known is not None and self._is_lost(packet, known, now_s):
+            known = self._move(packet.key, known, now_s)
+        elif known is None:
+            known = self._start(packet.key, service, now_s)
         if known is None:
-            known = _Relayed(dispatcher, service, now_s, now_s)
-            self._relayed[packet.key] = known
+            return False
         known.last_s = now_s
         self._count(known)
         # A copy asks for the service that was drawn for its opening.
         self._send_opening(packet, known, table_version)
         return True
 
-    def _still_trusts(self, packet: Packet, known: _Relayed, now_s: float) -> bool:
-        """Decide whether a copy goes where its opening went."""
+    def _start(self, key: FlowKey, service: str, now_s: float) -> _Relayed | None:
+        dispatcher = self._draw(service, now_s)
+        if dispatcher is None or len(self._relayed) >= _MOST_RELAYED:
+            return None
+        known = self._relayed[key] = _Relayed(dispatcher, service, now_s, now_s)
+        return known
+
+    def _move(self, key: FlowKey, known: _Relayed, now_s: float) -> _Relayed | None:
+        """Choose another dispatcher for an opening that the first one lost."""
+        self._tell_end(key, known.dispatcher)
+        dispatcher = self._draw(known.service, now_s, known.dispatcher)
+        if dispatcher is None:
+            self._forget(key)
+            return None
+        known.dispatcher = dispatcher
+        return known
+
+    def _is_lost(self, packet: Packet, known: _Relayed, now_s: float) -> bool:
+        """Decide whether a dispatcher has lost an opening whose copy has come."""
         if self._alive_s.get(known.dispatcher, 0.0) >= known.last_s:
-            return True
+            return False
         if known.last_s < self._awake_since_s:
             # Whatever it said came while this instance did not run.
-            self._forget(packet.key)
             return False
+        misses = self._misses[known.dispatcher] = self._misses[known.dispatcher] + 1
+        if misses >= _MISSES_BEFORE_DISTRUST:
+            self._distrust(packet, known, now_s)
+        return True
+
+    def _distrust(self, packet: Packet, known: _Relayed, now_s: float) -> None:
         distrusted_s = (known.last_s, now_s + _DISTRUST_S)
         self._distrusted_s[known.dispatcher] = distrusted_s
         self._counters["dispatchers_silent"] += 1
@@ -161,20 +184,22 @@
             flow=str(packet.key),
             waited_s=round(now_s - known.first_s, 3),
         )
-        self._forget(packet.key)
-        return False
 
-    def _draw(self, service: str, now_s: float) -> bytes | None:
+    def _draw(self, service: str, now_s: float, lost: bytes = b"") -> bytes | None:
         """Draw a dispatcher by the slots that it can give out.
 
-        One that is distrusted is drawn like the others, and its openings are placed by
-        own counts: else the others' servers would bear those of its servers too.
+        One that is distrusted is left out while most others are not: theirs bear its
+        share until control instances name another one. Else openings are placed here.
         """
         slots = self._groups.count_slots(service)
-        if not slots:
+        trusted = {
+            dispatcher: count
+            for dispatcher, count in slots.items()
+            if dispatcher != lost and not self._is_distrusted(dispatcher, now_s)
+        }
+        if 2 * len(trusted) <= len(slots):
             return None
-        drawn = random.choices(list(slots), list(slots.values()))[0]
-        return None if self._is_distrusted(drawn, now_s) else drawn
+        return random.choices(list(trusted), list(trusted.values()))[0]
 
     def _is_distrusted(self, dispatcher: bytes, now_s: float) -> bool:
         _, until_s = self._distrusted_s.get(dispatcher, (now_s, now_s))
@@ -228,6 +253,22 @@
 
     # -- what becomes of them -----------------------------------------------------
 
+    def asked_s(self, key: FlowKey) -> float | None:
+        """Tell when a relayed opening, or its last copy, was sent.
+
+        Parameters
+        ----------
+        key : FlowKey
+            Its flow.
+
+        Returns
+        -------
+        float or None
+            None if it was not relayed, or is known to be placed.
+        """
+        known = self._relayed.get(key)
+        return known.last_s if known is not None and not known.placed else None
+
     def note_packet(self, key: FlowKey, busy: bool, over: bool) -> None:
         """Note what a packet of an open flow shows.
 
@@ -263,6 +304,7 @@
             When it is known to have lived: no later than it got the opening.
         """
         self._alive_s[dispatcher] = max(since_s, self._alive_s.get(dispatcher, -inf))
+        self._misses.pop(dispatcher, None)
         lost_s, _ = self._distrusted_s.get(dispatcher, (inf, 0.0))
         if since_s >= lost_s:
             del self._distrusted_s[dispatcher]
@@ -325,6 +367,6 @@
         for key, known in list(self._relayed.items()):
             if known.last_s < oldest_s:
                 self._forget(key)
-        for by_dispatcher in (self._alive_s, self._distrusted_s):
+        for by_dispatcher in (self._alive_s, self._distrusted_s, self._misses):
             for dispatcher in set(by_dispatcher) - set(self._groups.dispatchers):
                 del by_dispatcher[dispatcher]
--- a/src/agatethread/datapath/_shared_placing.py
+++ b/src/agatethread/datapath/_shared_placing.py
@@ -5,10 +5,12 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
 
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._dispatching import Hands, OpeningDispatcher
 from agatethread.datapath._elsewhere import OtherDomains
+from agatethread.datapath._flows import FlowLoads
 from agatethread.datapath._groups import ServerGroups
 from agatethread.datapath._packets import FlowKey, Packet, unpack_flow
 from agatethread.datapath._relaying import OpeningRelay
@@ -51,6 +53,8 @@
         What is done with an opening.
     place_here : callable
         Places an opening by this instance's own counts.
+    refuse : callable
+        Tells a caller that its flow is not taken on, and why.
     now_s : callable
         Monotonic clock.
     counters : Counters
@@ -69,6 +73,7 @@
         table: Callable[[], RouteTable],
         hands: Hands,
         place_here: Callable[[Packet], None],
+        refuse: Callable[[Packet, str], None],
         now_s: Callable[[], float],
         counters: Counters,
         policies: Policies = DEFAULT_POLICIES,
@@ -79,6 +84,7 @@
         self._table = table
         self._send_away = hands.send
         self._place_here = place_here
+        self._refuse = refuse
         self._counters = counters
         self._now_s = now_s
         self._ran_s = now_s()
@@ -86,7 +92,7 @@
         self._behind_until_s = now_s()
         self._groups = ServerGroups(failure_domain, runs_of, may_take, now_s)
         self._others = OtherDomains(failure_domain, now_s)
-        own_hands = Hands(hands.forward, hands.refuse, self._send, hands.table_version)
+        own_hands = replace(hands, send=self._send)
         self.dispatcher = OpeningDispatcher(
             own_address,
             self._groups,
@@ -135,6 +141,25 @@
             return False
         return self._relay.relay(packet, service, self._table().version)
 
+    def adopt(self, key: FlowKey, backend: Backend, loads: FlowLoads) -> None:
+        """Record a relayed flow as if it had been placed here.
+
+        To be called before a packet of an open flow is noted: that it comes shows that
+        the backend server has answered the opening.
+
+        Parameters
+        ----------
+        key : FlowKey
+            The flow.
+        backend : Backend
+            The run that its label names.
+        loads : FlowLoads
+            Where flows are recorded.
+        """
+        asked_s = self._relay.asked_s(key)
+        if asked_s is not None and loads.find(key) is None:
+            loads.open(key, backend, asked_s)
+
     def note_packet(self, key: FlowKey, busy: bool, over: bool) -> None:
         """Note what a packet of an open flow shows.
 
@@ -205,6 +230,10 @@
     def _on_returned(self, returned: ReturnedOpening) -> None:
         opening = returned.opening
         packet = self._decode(opening.packet)
+        if returned.refused:
+            if self._relay.take_back(packet.key):
+                self._refuse(packet, "no_room")
+            return
         if not opening.hops:
             if self._relay.take_back(packet.key):
                 self._place_here(packet)
--- a/tests/datapath/crowds.py
+++ b/tests/datapath/crowds.py
@@ -83,7 +83,6 @@
         )
         hands = Hands(
             forwarder.forward_opening,
-            forwarder.refuse,
             lambda message, target: self.tell(place, message, target),
             lambda: forwarder.table.version,
         )
@@ -96,6 +95,7 @@
             lambda: forwarder.table,
             hands,
             forwarder.place_here,
+            forwarder.refuse,
             self.clock,
             counters,
         )
