--- a/src/agatethread/control/_watchers.py
+++ b/src/agatethread/control/_watchers.py
@@ -86,8 +86,11 @@
         sent_index = -1
         while not reader.done():
             wake.clear()
-            yield self._update_since(sent_index)
-            sent_index = self._state.change_index
+            update = self._update_since(sent_index)
+            # Not the state's index afterwards: what is agreed while the update is
+            # under way is not in it.
+            sent_index = update.index
+            yield update
             try:
                 await asyncio.wait_for(wake.wait(), _HEARTBEAT_S)
             except TimeoutError:
--- a/src/agatethread/entry/_documents.py
+++ b/src/agatethread/entry/_documents.py
@@ -37,6 +37,9 @@
     def take(self, update: WatchUpdate) -> bool:
         """Take what a control instance sent, unless something newer is known.
 
+        Each document is judged by its own index, whatever index the update has: should
+        one stream leave out a document, the other one or the next greeting brings it.
+
         Parameters
         ----------
         update : WatchUpdate
@@ -45,13 +48,12 @@
         Returns
         -------
         bool
-            Whether it was taken.
+            Whether anything changed.
         """
-        if update.index < self.index:
-            return False
+        taken = [self._take_document(record) for record in update.documents]
+        if update.index <= self.index:
+            return any(taken)
 
-        for record in update.documents:
-            self._take_document(record)
         self.drained = frozenset(update.drained)
         self.evacuated = frozenset(update.evacuated)
         self.index = update.index
@@ -74,18 +76,19 @@
         """
         return endpoint_id in self.drained or failure_domain in self.evacuated
 
-    def _take_document(self, record: DocumentRecord) -> None:
+    def _take_document(self, record: DocumentRecord) -> bool:
         if record.index <= self._indexes.get(record.service, 0):
-            return
+            return False
         try:
             document = parse_document(record.service, record.compact.decode())
         except (DocumentError, UnicodeDecodeError) as error:
             # Control checks documents before it accepts them, so this is a fault of
             # versions that differ; the last good document stays.
             log.error("document not taken", service=record.service, error=error)
-            return
+            return False
         self.documents[record.service] = document
         self._indexes[record.service] = record.index
+        return True
 
 
 class DocumentWatcher(Service):
@@ -154,7 +157,7 @@
             update = await asyncio.wait_for(stream.read(), _SILENCE_S)
             if not isinstance(update, WatchUpdate):
                 return
-            if update.index > self._book.index and self._book.take(update):
+            if self._book.take(update):
                 self._counters["control_updates"] += 1
                 self._on_update()
             if self._book.index != acknowledged:
--- a/src/agatethread/entry/_instance.py
+++ b/src/agatethread/entry/_instance.py
@@ -298,7 +298,8 @@
         self.placer.on_endpoint_gone(endpoint)
 
     def _on_update(self) -> None:
-        log.info("documents in force", index=self.book.index)
+        count = len(self.book.documents)
+        log.info("documents in force", index=self.book.index, services=count)
         for endpoint in self.endpoints.by_address.values():
             self._on_endpoint_changed(endpoint)
         self._follow_own_drain()
