--- a/src/agatethread/registry/_admission.py
+++ b/src/agatethread/registry/_admission.py
@@ -12,8 +12,8 @@
 later                       the earlier run is over, the new one is taken
 earlier                     stale, however high its sequence number
 missing                     refused where the id is known with a start time, or
-                            any live run tells its own: backend servers tell it
-                            all or none; otherwise a time before all others
+                            most live runs tell their own: backend servers tell
+                            it all or none; otherwise a time before all others
 ==========================  =================================================
 
 Start times are read from the backend servers' own clocks. A clock that was set back
--- a/src/agatethread/registry/_entries.py
+++ b/src/agatethread/registry/_entries.py
@@ -1,6 +1,7 @@
 """What a control instance keeps of each run, found by id, address and number."""
 
 from collections.abc import Iterator
+from itertools import islice
 
 from agatethread.registry._admission import is_live
 from agatethread.registry._report import START_NOT_TOLD, Report
@@ -39,6 +40,8 @@
         #: The same, with runs that only reported to this instance again.
         self._by_report: dict[str, RunEntry] = {}
         self._by_number: dict[int, RunEntry] = {}
+        #: Those that told when they started, by id.
+        self._tellers: dict[str, RunEntry] = {}
         self._holders: dict[bytes, RunEntry] = {}
 
     def __len__(self) -> int:
@@ -62,18 +65,28 @@
         is_none = namesake is None or namesake.run.id == except_id
         return None if is_none else namesake
 
-    def tell_starts(self) -> bool:
-        """Tell whether any live run has told when it started."""
-        return any(
-            entry.run.started_ms != START_NOT_TOLD and is_live(entry.run)
+    def most_tell_starts(self) -> bool:
+        """Tell whether most live runs have told when they started.
+
+        Looks at no more runs that did not tell than there are ones that did: where
+        none tells, every report asks.
+        """
+        told_count = sum(is_live(entry.run) for entry in self._tellers.values())
+        untold = (
+            entry
             for entry in self._by_id.values()
+            if entry.run.started_ms == START_NOT_TOLD and is_live(entry.run)
         )
+        return sum(1 for _ in islice(untold, told_count)) < told_count
 
     def add(self, run: BackendRun) -> RunEntry:
         """Keep a run in place of an earlier one of its id."""
         self._by_change.pop(run.id, None)
         self._by_report.pop(run.id, None)
         entry = self._by_id[run.id] = RunEntry(run)
+        self._tellers.pop(run.id, None)
+        if run.started_ms != START_NOT_TOLD:
+            self._tellers[run.id] = entry
         if run.number:
             self._by_number[run.number] = entry
         if run.address and not run.ended:
@@ -113,6 +126,7 @@
         del self._by_id[run_id]
         self._by_change.pop(run_id, None)
         self._by_report.pop(run_id, None)
+        self._tellers.pop(run_id, None)
         if self._by_number.get(entry.run.number) is entry:
             del self._by_number[entry.run.number]
 
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -102,8 +102,8 @@
             If another writer sent it under this id; nothing was changed.
         """
         verdict = self._judge(report)
-        if verdict is Verdict.STARTS:
-            verdict = self._judge_start(report)
+        if verdict in (Verdict.STARTS, Verdict.CONTINUES):
+            verdict = self._judge_writer(report, verdict)
         entry = self._follow(report, verdict)
         if verdict.is_refusal:
             raise ReportRefusedError(report.id, verdict.value)
@@ -116,14 +116,16 @@
         self._entries.note_report(entry, self.index)
         return changed
 
-    def _judge_start(self, report: Report) -> Verdict:
-        """Check what only matters in the first report of a run."""
+    def _judge_writer(self, report: Report, verdict: Verdict) -> Verdict:
+        """Refuse what counts otherwise, if it can't be a backend server's of ours."""
+        starts = verdict is Verdict.STARTS
         # Before any table is known, every service may be one.
-        if self.services and report.service not in self.services:
+        if starts and self.services and report.service not in self.services:
             return Verdict.UNKNOWN_SERVICE
-        if report.started_ms == START_NOT_TOLD and self._entries.tell_starts():
+        # Also a known run's: another writer's report may have come before all others.
+        if report.started_ms == START_NOT_TOLD and self._entries.most_tell_starts():
             return Verdict.START_MISSING
-        return Verdict.STARTS
+        return verdict
 
     def _judge(self, report: Report) -> Verdict:
         holder = self._entries.find_holder(report.address, report.id)
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -185,6 +185,13 @@
         self.assertEqual(decode_end("i-1", b'{"born": 17}'), 17)
         self.assertEqual(decode_end("i-1", b""), 0)
 
+    def test_report_that_lacks_a_field_is_refused(self):
+        """Every server tells all that the protocol's page lists, whatever it lacks."""
+        for name in REPORT:
+            body = json.dumps({key: REPORT[key] for key in REPORT if key != name})
+            with self.subTest(lacks=name), self.assertRaises(DocumentError):
+                decode_report("i-1", body.encode())
+
     def test_values_that_no_server_sends_are_refused(self):
         """Each field of a foreign type, range or form is a typed error."""
         numbers = ("4", True, None, [4], {}, -1, 1e400, float("nan"), 10**400, 0.5)
@@ -197,6 +204,7 @@
             "state": (*texts, "READY", "gone", "drained"),
             "service": texts,
             "zone": texts,
+            "version": (7, True, None, ["v1"], {}, 1.5),
             "address": (
                 *texts,
                 "10.0.0.1",
--- a/tests/registry/test_restarts.py
+++ b/tests/registry/test_restarts.py
@@ -2,12 +2,14 @@
 import unittest
 from dataclasses import dataclass
 
-from hypothesis import settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from agatethread.exceptions import ReportRefusedError
 from agatethread.registry import RunTable, load_hints, save_hints
+from agatethread.registry._entries import RunIndex
+from agatethread.wire.registry_pb2 import BackendRun
 from tests.fakes import Clock
 from tests.registry.test_runs import INTERVAL_S, report
 
@@ -137,6 +139,50 @@
         self.assertTrue(self.table.report(report(**untold)))
         self.assertTrue(self.table.report(report(number=8, place=8)))
 
+    def test_run_that_tells_no_start_goes_once_most_others_tell_theirs(self):
+        """Coming before all others makes another writer's report no good one."""
+        clock = Clock()
+        table = RunTable(INTERVAL_S, clock)
+        untold = {"number": 9, "place": 9}
+        self.assertTrue(table.report(report(**untold)))
+        for number in (1, 2):
+            table.report(report(number, place=number, started_ms=1_000))
+        table.sweep()
+        with self.assertRaises(ReportRefusedError):
+            table.report(report(sequence=2, draining=True, **untold))
+        self.assertEqual(table.find("i-9").sequence, 1)
+        for sequence in range(2, 30):
+            clock.value_s += 0.2
+            for number in (1, 2):
+                told = {"place": number, "started_ms": 1_000}
+                table.report(report(number, sequence, **told))
+            table.sweep()
+        silent = [run.id for run in table.snapshot() if run.silent]
+        self.assertEqual(silent, ["i-9"])
+
+    @given(st.lists(st.tuples(st.booleans(), st.sampled_from(("", "silent", "ended")))))
+    def test_most_are_counted_among_the_live(self, kinds):
+        """Whether most tell their start is what a plain count of live runs says."""
+        index = RunIndex()
+        for number, (tells, state) in enumerate(kinds, 1):
+            run = BackendRun(id=f"i-{number:x}", started_ms=1_000 * tells)
+            if state:
+                setattr(run, state, True)
+            index.add(run)
+        live = [tells for tells, state in kinds if not state]
+        self.assertEqual(index.most_tell_starts(), sum(live) * 2 > len(live))
+
+    def test_one_that_tells_its_start_takes_no_place_of_others(self):
+        """Where most tell none, they go on, and further ones are taken."""
+        table = RunTable(INTERVAL_S, Clock())
+        for number in (1, 2):
+            table.report(report(number, place=number))
+        self.assertTrue(table.report(report(3, place=3, started_ms=1_000)))
+        table.sweep()
+        self.assertFalse(table.report(report(1, sequence=2, place=1)))
+        self.assertEqual(table.find("i-1").sequence, 2)
+        self.assertTrue(table.report(report(4, place=4)))
+
     def test_every_service_may_be_one_before_any_table(self):
         """Without a routing table, backend servers are taken as they come."""
         table = RunTable(INTERVAL_S, Clock())
