--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._backends import BackendView
@@ -20,7 +20,12 @@
     PacketCodec,
     caller_packet,
 )
-from agatethread.datapath._placing import choose_service, order_services, place_flow
+from agatethread.datapath._placing import (
+    choose_backend,
+    choose_service,
+    order_services,
+    place_flow,
+)
 from agatethread.datapath._shared_placing import SharedPlacing
 from agatethread.datapath._sightings import SharedSilence
 from agatethread.datapath._silence import ends_with_its_run
@@ -154,10 +159,12 @@
         flow = self.loads.find(packet.key)
         service, tried = judge_earlier(flow, packet, route, now_s)
         service = service or choose_service(route.targets, random.random)
+        among: Sequence[Backend] | None = ()
         if self.shared_placing and not tried:
-            if self.shared_placing.relay(packet, service):
+            among = self.shared_placing.relay(packet, service)
+            if among is None:
                 return
-        self._place(packet, route, service, tried, now_s)
+        self._place(packet, route, service, tried, now_s, among)
 
     def _place(
         self,
@@ -166,15 +173,18 @@
         service: str,
         tried: tuple[Backend, ...],
         now_s: float,
+        among: Sequence[Backend] = (),
     ) -> None:
-        """Place an opening by this instance's own counts."""
-        backend = place_flow(
+        """Place an opening by this instance's own counts, on some servers if named."""
+        domain, policies = self._failure_domain, self._policies
+        backend = choose_backend(among, domain, now_s, policies=policies)
+        backend = backend or place_flow(
             order_services(route.targets, service),
             self._view.of_service,
-            self._failure_domain,
+            domain,
             now_s,
             tried,
-            self._policies,
+            policies,
             self._cold,
         )
         if backend is None:
--- a/src/agatethread/datapath/_relaying.py
+++ b/src/agatethread/datapath/_relaying.py
@@ -103,7 +103,9 @@
 
     # -- openings -----------------------------------------------------------------
 
-    def relay(self, packet: Packet, service: str, table_version: int) -> bool:
+    def relay(
+        self, packet: Packet, service: str, table_version: int
+    ) -> Sequence[Backend] | None:
         """Relay an opening, if it is better placed elsewhere.
 
         Parameters
@@ -117,24 +119,27 @@
 
         Returns
         -------
-        bool
-            False if this instance is to place it.
+        sequence of Backend or None
+            None if it was relayed. Else this instance is to place it: on one of these,
+            whose dispatcher is distrusted; on any if there are none.
         """
         now_s = self._now_s()
         known = self._relayed.get(packet.key)
         if known is not None and not packet.copy:
             if now_s - known.first_s < _SAME_PACKET_S:
-                return True
+                return None
             # The port is used anew.
             self._forget(packet.key)
             known = None
         if known is not None and not self._still_trusts(packet, known, now_s):
-            return False
+            return self._left_alone(known.service, known.dispatcher, now_s)
         if known is None and (packet.copy or not self._is_pressed(service, now_s)):
-            return False
-        dispatcher = known.dispatcher if known else self._draw(service, now_s)
+            return ()
+        dispatcher = known.dispatcher if known else self._draw(service)
         if dispatcher is None or len(self._relayed) >= _MOST_RELAYED:
-            return False
+            return ()
+        if self._is_distrusted(dispatcher, now_s):
+            return self._left_alone(service, dispatcher, now_s)
         if known is None:
             known = _Relayed(dispatcher, service, now_s, now_s)
             self._relayed[packet.key] = known
@@ -142,7 +147,7 @@
         self._count(known)
         # A copy asks for the service that was drawn for its opening.
         self._send_opening(packet, known, table_version)
-        return True
+        return None
 
     def _still_trusts(self, packet: Packet, known: _Relayed, now_s: float) -> bool:
         """Decide whether a copy goes where its opening went."""
@@ -164,17 +169,23 @@
         self._forget(packet.key)
         return False
 
-    def _draw(self, service: str, now_s: float) -> bytes | None:
-        """Draw a dispatcher by the slots that it can give out.
+    def _left_alone(
+        self, service: str, dispatcher: bytes, now_s: float
+    ) -> list[Backend]:
+        """List the servers that a dispatcher does not place on at present.
 
-        One that is distrusted is drawn like the others, and its openings are placed by
-        own counts: else the others' servers would bear those of its servers too.
+        What it does not place goes to them alone: the other servers would bear it
+        beside what their own dispatchers place, which don't know of it.
         """
+        servers = self._groups.usable(service, dispatcher)
+        return [one for one in servers if now_s >= one.penalty_until_s]
+
+    def _draw(self, service: str) -> bytes | None:
+        """Draw a dispatcher by the slots that it can give out, trusted or not."""
         slots = self._groups.count_slots(service)
         if not slots:
             return None
-        drawn = random.choices(list(slots), list(slots.values()))[0]
-        return None if self._is_distrusted(drawn, now_s) else drawn
+        return random.choices(list(slots), list(slots.values()))[0]
 
     def _is_distrusted(self, dispatcher: bytes, now_s: float) -> bool:
         _, until_s = self._distrusted_s.get(dispatcher, (now_s, now_s))
--- a/src/agatethread/datapath/_shared_placing.py
+++ b/src/agatethread/datapath/_shared_placing.py
@@ -116,7 +116,7 @@
         self._groups.take(told.get(self._failure_domain))
         self._others.take(told)
 
-    def relay(self, packet: Packet, service: str) -> bool:
+    def relay(self, packet: Packet, service: str) -> Sequence[Backend] | None:
         """Relay an opening of a caller, if it is better placed elsewhere.
 
         Parameters
@@ -128,11 +128,12 @@
 
         Returns
         -------
-        bool
-            False if this instance is to place it.
+        sequence of Backend or None
+            None if it was relayed. Else this instance is to place it: on one of these
+            rather than on others, if there are any.
         """
         if self._is_behind():
-            return False
+            return ()
         return self._relay.relay(packet, service, self._table().version)
 
     def note_packet(self, key: FlowKey, busy: bool, over: bool) -> None:
--- a/tests/datapath/test_relaying.py
+++ b/tests/datapath/test_relaying.py
@@ -1,9 +1,10 @@
 import unittest
 from unittest import mock
 
+from agatethread.datapath._backend import Backend
 from agatethread.datapath._relaying import OpeningRelay
 from agatethread.observability import Counters
-from tests.datapath.worlds import opening
+from tests.datapath.worlds import opening, run
 from tests.fakes import Clock, address
 
 ONE, TWO = address(1), address(2)
@@ -17,6 +18,8 @@
         self.sent = []
         self.groups = mock.Mock(entry_count=4, dispatchers=(ONE, TWO))
         self.groups.count_slots.return_value = {ONE: 8}
+        self.group = [Backend(run(nth)) for nth in (1, 2)]
+        self.groups.usable.return_value = self.group
         self.busy = mock.Mock(in_flight=0)
         self.relay = OpeningRelay(
             self.groups,
@@ -30,7 +33,8 @@
         self.addCleanup(gauge.stop)
 
     def ask(self, port=1, copy=0, service="tab"):
-        return self.relay.relay(opening(port, copy=copy), service, 1)
+        """Ask it; tell whether it relayed the opening."""
+        return self.relay.relay(opening(port, copy=copy), service, 1) is None
 
 
 class TestRelay(RelayCase):
@@ -85,6 +89,14 @@
         self.assertTrue(self.relay.take_back(opening(1).key))
         self.assertFalse(self.relay.take_back(opening(1).key))
 
+    def test_servers_of_a_distrusted_dispatcher_keep_their_share(self):
+        """What it does not place goes to its servers that answer, and to no others."""
+        self.ask()
+        self.clock.value_s += 0.2
+        self.group[1].penalty_until_s = self.clock() + 1.0
+        for one in (opening(1, copy=1), opening(2)):
+            self.assertEqual(self.relay.relay(one, "tab", 1), self.group[:1])
+
 
 class TestPressure(RelayCase):
     def test_refused_callers_are_no_pressure(self):
--- a/tests/datapath/test_shared_placing.py
+++ b/tests/datapath/test_shared_placing.py
@@ -68,6 +68,9 @@
         late = [one for one in through if one["tries"] and (one["answer_s"] or 9) > 0.4]
         self.assertLess(len(late), 0.05 * len(through))
         self.assertGreater(world.count("dispatchers_silent"), 5)
+        known = [one for one in through if one["first_s"] > 1.3]
+        late = [one for one in known if one["tries"] and (one["answer_s"] or 9) > 0.4]
+        self.assertLess(len(late), 0.005 * len(known))
 
     def test_lost_words_of_ends_keep_no_place(self):
         """Without them places come back by themselves."""
