--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -101,7 +101,9 @@
     def _build_registry(self) -> None:
         settings, now_s = self.settings, self.timers.now_s
         self._transport = RegistryTransport(
-            listen_address(settings.registry, settings.listen_host), self.counters
+            listen_address(settings.registry, settings.listen_host),
+            self.counters,
+            settings.failure_domain,
         )
         self.runs = RunTable(settings.report_interval_s, now_s)
         self.hub = RegistryHub(
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -355,6 +355,9 @@
         data = self._codec.encode_for_backend(packet, backend.label, backend.number)
         self._send(data, backend.address, packet.key, packet.sequence)
         self._counters["forwarded"] += 1
+        if backend.failure_domain != self._failure_domain:
+            self._counters["forwarded_away"] += 1
+            self._counters["forwarded_bytes_away"] += len(data)
 
     def _drop(self, packet: Packet, reason: str) -> None:
         self._counters[f"dropped_{reason}"] += 1
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -173,7 +173,9 @@
             self._cold,
         )
         self._transport = RegistryTransport(
-            listen_address(settings.registry, settings.listen_host), counters
+            listen_address(settings.registry, settings.listen_host),
+            counters,
+            settings.failure_domain,
         )
         self.subscription = Subscription(
             settings.failure_domain,
--- a/src/agatethread/registry/_transport.py
+++ b/src/agatethread/registry/_transport.py
@@ -10,6 +10,7 @@
 
 from agatethread.exceptions import DatagramError
 from agatethread.observability import Counters
+from agatethread.registry._traffic import TrafficCount, name_purpose
 from agatethread.sockets import (
     drain_into,
     open_socket,
@@ -59,15 +60,19 @@
         ``IP:port`` to listen at.
     counters : Counters
         Counts what is sent and what can't be read.
+    failure_domain : str
+        Of this process.
     """
 
-    def __init__(self, address: str, counters: Counters):
+    def __init__(self, address: str, counters: Counters, failure_domain: str):
         self._socket = open_socket(address)
         self._counters = counters
+        self._traffic = TrafficCount(failure_domain, counters)
         self._send = send_or_count(self._socket, counters)
         #: One message mostly goes to many in a row, and is written once.
         self._last_message: RegistryMessage | None = None
         self._last_data = b""
+        self._last_purpose = ""
 
     def start(self, handler: Handler) -> None:
         """Start to read.
@@ -79,7 +84,9 @@
         """
 
         def on_datagram(data: bytes, source: tuple[str, int]) -> None:
-            handler(decode_message(data), pack_address(source))
+            message, sender = decode_message(data), pack_address(source)
+            self._traffic.note(message, sender)
+            handler(message, sender)
 
         start_reading(
             self._socket, drain_into(self._socket, on_datagram, self._counters)
@@ -98,8 +105,10 @@
         if message is not self._last_message:
             self._last_message = message
             self._last_data = message.SerializeToString()
+            self._last_purpose = name_purpose(message)
         data = self._last_data
         self._counters["registry_bytes_sent"] += len(data)
+        self._traffic.count(self._last_purpose, len(data), address)
         self._send(data, unpack_address(address))
 
     def close(self) -> None:
--- a/tests/datapath/test_forwarder.py
+++ b/tests/datapath/test_forwarder.py
@@ -13,6 +13,16 @@
         self.assertEqual(self.handle(opening()), [("forward", 2)])
         self.assertEqual(self.sent[0][0][2], label_of(2))
 
+    def test_what_leaves_the_failure_domain_is_counted(self):
+        """Packets to backend servers of other domains are counted with their bytes."""
+        self.view.take(run(1))
+        self.view.take(run(2, failure_domain="b"))
+        self.handle(packet(number=1))
+        self.handle(packet(number=2))
+        self.assertEqual(self.counters["forwarded"], 2)
+        self.assertEqual(self.counters["forwarded_away"], 1)
+        self.assertEqual(self.counters["forwarded_bytes_away"], len(self.sent[0][0]))
+
     def test_open_flow_needs_no_memory(self):
         """An instance that never saw a flow forwards it by its label."""
         self.view.take(run(1))
--- /dev/null
+++ b/tests/registry/test_traffic.py
@@ -0,0 +1,55 @@
+import unittest
+
+from agatethread.observability import Counters
+from agatethread.registry._traffic import TrafficCount, name_purpose
+from agatethread.wire.registry_pb2 import (
+    BackendRun,
+    Delta,
+    Dispatchers,
+    Evacuations,
+    HubState,
+    Poll,
+    RegistryMessage,
+)
+from tests.fakes import address
+
+
+class TestTraffic(unittest.TestCase):
+    def setUp(self):
+        self.counters = Counters()
+        self.traffic = TrafficCount("a", self.counters)
+
+    def test_each_message_has_a_purpose(self):
+        """Polls and deltas are told apart by what they are for."""
+        run = BackendRun(id="i-1")
+        expected = {
+            "poll": RegistryMessage(poll=Poll(wants_reply=True)),
+            "probe": RegistryMessage(poll=Poll(wants_reply=True, probe=True)),
+            "ack": RegistryMessage(poll=Poll(seen_index=3)),
+            "change": RegistryMessage(delta=Delta(runs=[run])),
+            "reply": RegistryMessage(delta=Delta(runs=[run], hub=HubState())),
+            "evacuations": RegistryMessage(evacuations=Evacuations(version=1)),
+        }
+        for purpose, message in expected.items():
+            self.assertEqual(name_purpose(message), purpose)
+
+    def test_place_is_what_the_receiver_said_of_itself(self):
+        """Counts are kept apart by role and failure domain, and for strangers."""
+        poll = Poll(failure_domain="b", is_control=True)
+        self.traffic.note(RegistryMessage(poll=poll), address(1))
+        self.traffic.note(RegistryMessage(poll=Poll(failure_domain="a")), address(2))
+        placing = Dispatchers(failure_domain="b", addresses=[address(3)])
+        delta = Delta(failure_domain="a", hub=HubState(dispatchers=[placing]))
+        self.traffic.note(RegistryMessage(delta=delta), address(4))
+        places = "control_away", "entry_home", "entry_away", "control_home", "unknown"
+        for number, place in enumerate(places, 1):
+            self.traffic.count("poll", 10 * number, address(number))
+            self.assertEqual(self.counters[f"sent_poll_{place}"], 1)
+            self.assertEqual(self.counters[f"sent_bytes_poll_{place}"], 10 * number)
+
+    def test_strangers_take_a_bounded_memory(self):
+        """Any number of senders is heard of; a few thousand are remembered."""
+        for number in range(5_000):
+            message = RegistryMessage(poll=Poll(failure_domain="b"))
+            self.traffic.note(message, address(number))
+        self.assertLessEqual(len(self.traffic._places), 4_096)
