--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -135,6 +135,7 @@
             lambda _: None,
             self.counters,
         )
+        self.hub.list_hubs = self.subscription.live
 
     def _registry_of(self, target: str) -> bytes:
         return pack_address((parse_address(target)[0], self._registry_port))
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -21,6 +21,7 @@
     KnownEvacuations,
     RegistryTransport,
     Subscription,
+    are_silent,
     is_cut_off,
     merge_dispatchers,
     widest_rank,
@@ -283,7 +284,9 @@
     def _judge(self) -> None:
         self.forwarder.tick()
         self.view.judge(self.subscription.is_reporting)
-        self._cold.rank = widest_rank(self.subscription.live())
+        self._cold.rank = widest_rank(
+            self.subscription.live(), self._settings.failure_domain
+        )
         if self.forwarder.shared_placing:
             told = merge_dispatchers(self.subscription.live(), self.timers.now_s())
             self.forwarder.shared_placing.take_dispatchers(told)
@@ -297,6 +300,8 @@
         if self.view.is_answered_outside(domain, self.timers.now_s() - _CUT_OFF_S):
             return False
         links = self.subscription.links.values()
+        if not are_silent(links, domain, self.timers.now_s()):
+            return False
         return is_cut_off(links, self.subscription.live(), domain)
 
     def _judge_suspects(self) -> None:
--- a/src/agatethread/registry/__init__.py
+++ b/src/agatethread/registry/__init__.py
@@ -2,7 +2,7 @@
 
 from agatethread.registry._dispatchers import DispatcherDirectory, merge_dispatchers
 from agatethread.registry._evacuations import EvacuationPublisher, KnownEvacuations
-from agatethread.registry._following import is_cut_off, widest_rank
+from agatethread.registry._following import are_silent, is_cut_off, widest_rank
 from agatethread.registry._hub import RegistryHub, RoutesOffer
 from agatethread.registry._link import HubLink
 from agatethread.registry._memory import Hints, KnownEntry, load_hints, save_hints
@@ -31,6 +31,7 @@
     "RunTable",
     "SightingPool",
     "Subscription",
+    "are_silent",
     "decode_message",
     "is_cut_off",
     "load_hints",
--- a/src/agatethread/registry/_following.py
+++ b/src/agatethread/registry/_following.py
@@ -1,6 +1,7 @@
 """Which control instances an entry instance follows, and what for.
 
-It follows three, one of its own failure domain and two of others, so that neither the
+It follows two of its own failure domain where these are enough, see `_home`. Else it
+follows three, one of its own failure domain and two of others, so that neither the
 death of one nor a cut keeps a drain from it. Those that hear a leader go first among
 the others: only they learn of a new routing table.
 """
@@ -10,6 +11,10 @@
 from agatethread.registry._link import HubLink
 from agatethread.registry._presence import NO_RANK, EntryRank
 
+#: One that was asked for all it knows so lately may still answer: a poll.
+_ANSWER_S = 0.4
+#: One that has not answered for so long may be out of reach: many round trips.
+_SILENT_S = 0.3
 #: Control instances that an entry instance follows: the loss of two is borne.
 FOLLOWED_COUNT = 3
 
@@ -39,7 +44,12 @@
     first = ranked[:1]
     domains = {link.failure_domain for link in first}
     others = [link for link in ranked[1:] if link.failure_domain not in domains]
-    others = sorted(others or ranked[1:], key=lambda link: not link.hears_leader)
+    # What one that the first does not hear takes would come through nobody else.
+    heard = {address for link in first for address in link.controls}
+    others = sorted(
+        others or ranked[1:],
+        key=lambda link: (not link.hears_leader, bool(heard) and link.address in heard),
+    )
     return first + others[: FOLLOWED_COUNT - 1]
 
 
@@ -119,21 +129,54 @@
     )
 
 
-def widest_rank(live: Iterable[HubLink]) -> EntryRank:
+def are_silent(links: Iterable[HubLink], failure_domain: str, now_s: float) -> bool:
+    """Tell whether no control instance of another failure domain answers.
+
+    One that was not asked lately says nothing, and is not cut off by that.
+
+    Parameters
+    ----------
+    links : iterable of HubLink
+        All known control instances.
+    failure_domain : str
+        Of this instance.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    bool
+        Whether each of them was asked in vain for many round trips.
+    """
+    return all(
+        now_s - link.unanswered_s >= _SILENT_S
+        for link in links
+        if link.failure_domain not in ("", failure_domain)
+    )
+
+
+def widest_rank(live: Iterable[HubLink], failure_domain: str = "") -> EntryRank:
     """Find an entry instance's rank among all.
 
     Parameters
     ----------
     live : iterable of HubLink
         The control instances that answered lately.
+    failure_domain : str, optional
+        Of the entry instance.
 
     Returns
     -------
     EntryRank
-        As the one says that hears the most; `NO_RANK` if none does.
+        As the one says that knows of the most; of several one at home, which hears all
+        entry instances there. `NO_RANK` if none does.
     """
-    ranks = (link.rank for link in live)
-    return max(ranks, key=lambda rank: rank.count, default=NO_RANK)
+    widest = max(
+        live,
+        key=lambda link: (link.rank.count, link.failure_domain == failure_domain),
+        default=None,
+    )
+    return widest.rank if widest else NO_RANK
 
 
 def knows_more(link: HubLink, others: Sequence[HubLink]) -> bool:
@@ -154,3 +197,31 @@
     has_runs = link.settled and not any(one.settled for one in others)
     has_routes = link.hears_leader and not any(one.hears_leader for one in others)
     return has_runs or has_routes
+
+
+def needs_asking(link: HubLink, live: Iterable[HubLink], now_s: float) -> bool:
+    """Tell whether one that has just said that it is there is asked for all it knows.
+
+    Parameters
+    ----------
+    link : HubLink
+        The control instance.
+    live : iterable of HubLink
+        Those that answered lately.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    bool
+        False if one as good tells already.
+    """
+    oldest_s = now_s - _ANSWER_S
+    telling = [
+        one
+        for one in live
+        if one.complete
+        or one.polled_s > oldest_s
+        or (one.seen_index > 0 and not one.is_left)
+    ]
+    return not telling or knows_more(link, telling)
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -4,7 +4,10 @@
 import secrets
 from collections.abc import Callable, Iterable, Iterator
 
-from agatethread.registry._chunks import MESSAGE_BYTES, RoutesOffer, split_routes
+from agatethread.registry._chunks import RoutesOffer, split_routes
+from agatethread.registry._deltas import DeltaWriter
+from agatethread.registry._home import has_home_pair
+from agatethread.registry._link import HubLink
 from agatethread.registry._memory import KnownEntry
 from agatethread.registry._presence import (
     NO_RANK,
@@ -19,7 +22,6 @@
 from agatethread.registry._waiting import IndexWaiters
 from agatethread.wire.registry_pb2 import (
     PRESENCE_LEAVING,
-    BackendRun,
     Delta,
     Dispatchers,
     Poll,
@@ -27,9 +29,6 @@
     Sightings,
 )
 
-#: Messages sent to one subscriber at a time, so that a full table does not fill the
-#: queue of a slow link (8 kB of 2 Mbit/s are 36 ms).
-_WINDOW_COUNT = 8
 #: A subscriber that was not heard for so long is not waited for any more.
 _SUBSCRIBER_LEASE_S = 2.0
 _FORGET_SUBSCRIBER_S = 10.0
@@ -76,9 +75,9 @@
         self._failure_domain = failure_domain
         self._send = send
         self._now_s = now_s
-        self._is_settled = is_settled
         self._hears_leader = hears_leader
         self._incarnation = secrets.randbits(63) | 1
+        self._deltas = DeltaWriter(runs, self._incarnation, failure_domain, is_settled)
         self._subscribers: dict[bytes, Subscriber] = {}
         self._waiting = IndexWaiters()
         self._offer: RoutesOffer | None = None
@@ -92,8 +91,12 @@
         self._expected: dict[bytes, Subscriber] = {}
         self._sightings = SightingPool()
         self._ranks: dict[bytes, EntryRank] = {}
+        #: Entry instances of the own failure domain that are heard.
+        self._home_count = 0
         #: Tells who places openings in each failure domain; nobody, unless it is set.
         self.list_dispatchers: Callable[[], Iterable[Dispatchers]] = tuple
+        #: Lists the other control instances that answered lately.
+        self.list_hubs: Callable[[], Iterable[HubLink]] = tuple
 
     def offer_routes(self, offer: RoutesOffer) -> None:
         """Send a routing table to everyone who has an older one.
@@ -141,7 +144,7 @@
         entries : iterable of KnownEntry
             Those that were told before this instance stopped.
         """
-        deltas = self._deltas_after(0, with_reports=False)
+        deltas = self._deltas.write_after(0, with_reports=False)
         for entry in entries:
             if entry.address in self._subscribers:
                 continue
@@ -153,7 +156,7 @@
 
     def _greeting(self) -> RegistryMessage:
         """Make a reply that tells of no runs, and so leaves what the receiver has."""
-        message = self._delta(0, [], 0)
+        message = self._deltas.write(0, [], 0)
         self._add_reply(message.delta)
         return message
 
@@ -169,6 +172,11 @@
         address : bytes
             Its packed address.
         """
+        if poll.probe and not poll.wants_reply:
+            # It follows others; waiting for it would hold up acknowledgements.
+            self._subscribers.pop(address, None)
+            self._settle_waiting()
+            return
         if poll.probe and poll.failure_domain != self._failure_domain:
             self._send(self._greeting(), address)
             return
@@ -219,13 +227,22 @@
                 break
             key = (subscriber.unsent_after(now_s), subscriber.is_control)
             if key not in prepared:
-                prepared[key] = self._deltas_after(*key)
+                prepared[key] = self._deltas.write_after(*key)
             self._told_count += len(prepared[key])
             self._send_changes(prepared[key], subscriber, address)
             self._send_routes(subscriber, address)
-        self._ranks = rank_entries(address for address, _ in self.entries_in_sight())
+        self._rank_entries()
         self._settle_waiting()
 
+    def _rank_entries(self) -> None:
+        entries = [(one.failure_domain, it) for it, one in self.entries_in_sight()]
+        told: dict[str, int] = {}
+        for link in self.list_hubs():
+            known_count = told.get(link.failure_domain, 0)
+            told[link.failure_domain] = max(known_count, link.rank.count)
+        self._home_count = sum(one == self._failure_domain for one, _ in entries)
+        self._ranks = rank_entries(entries, told)
+
     def _forget_silent(self, now_s: float) -> None:
         oldest_s = now_s - _FORGET_SUBSCRIBER_S
         for address, subscriber in list(self._subscribers.items()):
@@ -234,14 +251,17 @@
 
     def _reply(self, subscriber: Subscriber, address: bytes) -> None:
         after = subscriber.unsent_after(self._now_s())
-        messages = self._deltas_after(after, subscriber.is_control)
+        messages = self._deltas.write_after(after, subscriber.is_control)
         if not messages:
-            messages = [self._delta(after, [], after)]
+            messages = [self._deltas.write(after, [], after)]
             messages[-1].delta.complete = True
         messages = messages[: max(1, self._limit_count - self._told_count)]
         self._told_count += len(messages)
         self._add_reply(messages[-1].delta)
         rank = self._ranks.get(address, NO_RANK)
+        if subscriber.is_control:
+            # Others rank those that they don't hear themselves by their number.
+            rank = EntryRank(0, self._home_count)
         messages[-1].delta.hub.entries = rank.count
         messages[-1].delta.hub.rank = rank.position
         messages[-1].delta.hub.dispatchers.extend(self.list_dispatchers())
@@ -263,44 +283,10 @@
             self._resent_count += len(messages)
 
     def _add_reply(self, delta: Delta) -> None:
-        delta.controls.extend(list_controls(self._subscribers))
+        delta.controls.extend(list_controls(self._subscribers, self._now_s()))
         delta.hub.hears_leader = self._hears_leader()
         delta.hub.routes_version = self._offer.version if self._offer else 0
 
-    def _deltas_after(self, after: int, with_reports: bool) -> list[RegistryMessage]:
-        newest = self._runs.index if with_reports else self._runs.changed_index
-        if after >= newest:
-            return []
-        messages: list[RegistryMessage] = []
-        runs: list[BackendRun] = []
-        size, last = 0, after
-        for index, run in self._runs.changes_after(after, with_reports):
-            size += run.ByteSize() + 3
-            if runs and size > MESSAGE_BYTES:
-                messages.append(self._delta(after, runs, last))
-                after, runs, size = last, [], run.ByteSize()
-                if len(messages) == _WINDOW_COUNT:
-                    return messages
-            runs.append(run)
-            last = index
-        if runs:
-            messages.append(self._delta(after, runs, last))
-            messages[-1].delta.complete = True
-        return messages
-
-    def _delta(
-        self, after: int, runs: list[BackendRun], through: int
-    ) -> RegistryMessage:
-        delta = Delta(
-            hub_incarnation=self._incarnation,
-            after_index=after,
-            through_index=through,
-            runs=runs,
-            settled=self._is_settled(),
-            failure_domain=self._failure_domain,
-        )
-        return RegistryMessage(delta=delta)
-
     def _send_routes(self, subscriber: Subscriber, address: bytes) -> None:
         offer = self._offer
         if offer is None or subscriber.is_control or subscriber.without_routes:
@@ -342,19 +328,34 @@
             Its packed address.
         """
         subscriber = self._subscribers.get(address)
-        if subscriber is not None:
-            domain = subscriber.failure_domain
-            self._sightings.take(address, domain, sightings.runs, self._now_s())
+        if subscriber is None:
+            return
+        domain, now_s = subscriber.failure_domain, self._now_s()
+        if not subscriber.is_control:
+            self._sightings.take(address, domain, sightings.runs, now_s)
+        elif domain != self._failure_domain:
+            self._sightings.take_sums(domain, sightings.runs, now_s)
 
     def tell_sightings(self) -> None:
-        """Tell entry instances what all see; to be called ten times a second."""
+        """Tell entry instances what all see; to be called ten times a second.
+
+        Control instances of other failure domains are told what is seen in this one, if
+        entry instances anywhere may follow those of their own only.
+        """
         now_s = self._now_s()
         digest = self._sightings.digest(now_s)
-        if not digest.runs:
+        if digest.runs:
+            message = RegistryMessage(sightings=digest)
+            for address, _ in self.entries_in_sight():
+                self._send(message, address)
+        if not has_home_pair(self._failure_domain, self.list_hubs()):
             return
-        message = RegistryMessage(sightings=digest)
-        for address, _ in self.entries_in_sight():
-            self._send(message, address)
+        sums = self._sightings.sum_up_domain(self._failure_domain, now_s)
+        if sums.runs:
+            message = RegistryMessage(sightings=sums)
+            for address, one in self._in_sight(now_s):
+                if one.is_control and one.failure_domain != self._failure_domain:
+                    self._send(message, address)
 
     # -- waiting ------------------------------------------------------------------
 
--- a/src/agatethread/registry/_link.py
+++ b/src/agatethread/registry/_link.py
@@ -24,6 +24,8 @@
     #: When it was asked last, and whether it has answered as far as the log says.
     asked_s: float = float("-inf")
     in_sight: bool = False
+    #: Since when it has not answered; infinite while nothing was asked.
+    unanswered_s: float = float("inf")
     #: When it was asked last for what is new.
     polled_s: float = float("-inf")
     #: Whether it says that it knows every backend server that reports.
@@ -42,9 +44,18 @@
     dispatchers_told_s: float = float("-inf")
     #: Whether all that it knew has arrived here once.
     complete: bool = False
+    #: Whether this process told it that it does not follow it any more.
+    is_left: bool = False
+    #: Packed addresses of the control instances that it hears, as it said last.
+    controls: frozenset[bytes] = frozenset()
     #: Runs that it holds for alive: the start time of the newest by id.
     reporting: dict[str, int] = field(default_factory=dict)
 
+    def leave(self) -> None:
+        """Stop to follow it; what it told goes stale from here on."""
+        self.is_left = True
+        self.complete = False
+
     def note_hub(self, state: HubState, now_s: float) -> None:
         """Note what the control instance sees around it.
 
@@ -101,4 +112,5 @@
         self.seen_index = 0
         self.settled = False
         self.complete = False
+        self.is_left = False
         self.reporting.clear()
--- a/src/agatethread/registry/_presence.py
+++ b/src/agatethread/registry/_presence.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Protocol
 
 from agatethread.wire.registry_pb2 import (
@@ -55,24 +56,41 @@
 NO_RANK = EntryRank(0, 0)
 
 
-def rank_entries(addresses: Iterable[bytes]) -> dict[bytes, EntryRank]:
+def rank_entries(
+    entries: Iterable[tuple[str, bytes]], told: Mapping[str, int] = MappingProxyType({})
+) -> dict[bytes, EntryRank]:
     """Rank entry instances; all that know the same ones rank them alike.
 
+    Those of a failure domain stand together, so that a control instance that hears only
+    its own domain's needs but the numbers of the others to rank them among all.
+
     Parameters
     ----------
-    addresses : iterable of bytes
-        Their packed addresses.
+    entries : iterable of tuple of (str, bytes)
+        Failure domains and packed addresses of those that are heard.
+    told : mapping of str to int, optional
+        How many there are by failure domain, as control instances there say.
 
     Returns
     -------
     dict of bytes to EntryRank
         By address.
     """
-    ordered = sorted(addresses)
-    return {
-        address: EntryRank(position, len(ordered))
-        for position, address in enumerate(ordered)
+    by_domain: dict[str, list[bytes]] = {domain: [] for domain in told}
+    for domain, address in entries:
+        by_domain.setdefault(domain, []).append(address)
+    sizes = {
+        domain: max(len(heard), told.get(domain, 0))
+        for domain, heard in by_domain.items()
     }
+    count = sum(sizes.values())
+    ranks: dict[bytes, EntryRank] = {}
+    first = 0
+    for domain in sorted(by_domain):
+        for position, address in enumerate(sorted(by_domain[domain]), first):
+            ranks[address] = EntryRank(position, count)
+        first += sizes[domain]
+    return ranks
 
 
 def count_domain(
--- a/src/agatethread/registry/_sightings.py
+++ b/src/agatethread/registry/_sightings.py
@@ -19,6 +19,9 @@
 #: Flows and instances below which nobody would act on what is told.
 _LEAST_WAITING = 3
 _LEAST_OBSERVERS = 2
+#: The same of a sum from another control instance, which it says each 0.1 s: one may be
+#: lost, and its parts are as old as `KEPT_S` already.
+_SUM_KEPT_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +29,8 @@
     sighting: Sighting
     failure_domain: str
     at_s: float
+    #: Whether it is the sum of what the failure domain's entry instances see.
+    is_sum: bool = False
 
 
 class SightingPool:
@@ -58,6 +63,57 @@
             by_source = self._seen.setdefault(sighting.label, {})
             by_source[source] = _Seen(sighting, failure_domain, now_s)
 
+    def take_sums(
+        self, failure_domain: str, sightings: Iterable[Sighting], now_s: float
+    ) -> None:
+        """Take what another control instance sums up of its failure domain.
+
+        Parameters
+        ----------
+        failure_domain : str
+            Of that control instance.
+        sightings : iterable of Sighting
+            As `sum_up_domain` returned them.
+        now_s : float
+            Present time.
+        """
+        for sighting in sightings:
+            by_source = self._seen.setdefault(sighting.label, {})
+            kind = "waiting" if sighting.waiting else "answered"
+            source = f"{failure_domain} {kind}".encode()
+            by_source[source] = _Seen(sighting, failure_domain, now_s, True)
+
+    def sum_up_domain(self, failure_domain: str, now_s: float) -> Sightings:
+        """Sum up what the entry instances of a failure domain see themselves.
+
+        The load that this answers: where entry instances follow control instances of
+        their own failure domain only, what those of others see comes as one sum of a
+        domain, and not from each of dozens.
+
+        Parameters
+        ----------
+        failure_domain : str
+            Its name.
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        Sightings
+            Flows that wait, and answers, each apart; empty if there are none.
+        """
+        self._drop_old(now_s)
+        found = []
+        for label, by_source in self._seen.items():
+            own = [
+                one
+                for one in by_source.values()
+                if one.failure_domain == failure_domain and not one.is_sum
+            ]
+            found += _sum_apart(label, own, now_s)
+        found.sort(key=lambda one: -one.waiting)
+        return Sightings(runs=found[: 2 * _MOST_RUNS])
+
     def digest(self, now_s: float) -> Sightings:
         """Sum up what is still true.
 
@@ -83,7 +139,7 @@
     def _drop_old(self, now_s: float) -> None:
         for label, by_source in list(self._seen.items()):
             for source, seen in list(by_source.items()):
-                if now_s - seen.at_s > KEPT_S:
+                if now_s - seen.at_s > (_SUM_KEPT_S if seen.is_sum else KEPT_S):
                     del by_source[source]
             if not by_source:
                 del self._seen[label]
@@ -94,7 +150,7 @@
 
 
 def _sum_up(label: int, seen: list[_Seen], now_s: float) -> Sighting:
-    waiting = [one for one in seen if one.sighting.waiting]
+    waiting = _choose_fuller([one for one in seen if one.sighting.waiting])
     answered = [one for one in seen if not one.sighting.waiting]
     # What was said a moment ago may have ended since, so silence does not grow here.
     silent_ms = max((one.sighting.silent_ms for one in waiting), default=0)
@@ -104,10 +160,43 @@
         label=label,
         waiting=sum(one.sighting.waiting for one in waiting),
         silent_ms=silent_ms,
-        observers=len(waiting),
+        observers=sum(max(1, one.sighting.observers) for one in waiting),
         domains=len({one.failure_domain for one in waiting}),
     )
 
 
+def _choose_fuller(waiting: list[_Seen]) -> list[_Seen]:
+    """Leave out what is told twice: a domain's sum, or those of it that told directly.
+
+    An entry instance that follows control instances of other failure domains, too, is
+    in its own domain's sum and heard besides.
+    """
+    chosen: list[_Seen] = []
+    for domain in {one.failure_domain for one in waiting}:
+        of_domain = [one for one in waiting if one.failure_domain == domain]
+        parts = (
+            [one for one in of_domain if not one.is_sum],
+            [one for one in of_domain if one.is_sum],
+        )
+        chosen += max(parts, key=lambda part: sum(x.sighting.waiting for x in part))
+    return chosen
+
+
+def _sum_apart(label: int, seen: list[_Seen], now_s: float) -> list[Sighting]:
+    waiting = [one.sighting for one in seen if one.sighting.waiting]
+    answered = [
+        _answered_ago_ms(one, now_s) for one in seen if not one.sighting.waiting
+    ]
+    found = []
+    if waiting:
+        one = Sighting(label=label, observers=len(waiting))
+        one.waiting = sum(each.waiting for each in waiting)
+        one.silent_ms = max(each.silent_ms for each in waiting)
+        found.append(one)
+    if answered:
+        found.append(Sighting(label=label, silent_ms=min(answered)))
+    return found
+
+
 def _answered_ago_ms(seen: _Seen, now_s: float) -> int:
     return seen.sighting.silent_ms + round((now_s - seen.at_s) * 1000)
--- a/src/agatethread/registry/_subscribers.py
+++ b/src/agatethread/registry/_subscribers.py
@@ -14,6 +14,9 @@
 #: Time between two tables: those that are overtaken meanwhile need not be sent. A table
 #: of 1,600 routes each 0.08 s is half of a link of 2 Mbit/s.
 _NEXT_ROUTES_S = 0.08
+#: A control instance that polls each 0.3 s and was not heard for so long is not named:
+#: entry instances conclude from it whether their own domain's ones hear all others.
+_CONTROL_HEARD_S = 1.0
 
 
 class Subscriber:
@@ -143,13 +146,17 @@
         return is_again
 
 
-def list_controls(subscribers: Mapping[bytes, Subscriber]) -> list[ControlNode]:
-    """List the control instances among subscribers.
+def list_controls(
+    subscribers: Mapping[bytes, Subscriber], now_s: float
+) -> list[ControlNode]:
+    """List the control instances among subscribers that are heard.
 
     Parameters
     ----------
     subscribers : mapping of bytes to Subscriber
         By packed address.
+    now_s : float
+        Present time.
 
     Returns
     -------
@@ -159,7 +166,7 @@
     return [
         ControlNode(address=address, failure_domain=subscriber.failure_domain)
         for address, subscriber in subscribers.items()
-        if subscriber.is_control
+        if subscriber.is_control and now_s - subscriber.heard_s < _CONTROL_HEARD_S
     ]
 
 
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -4,19 +4,19 @@
 follows all the others.
 """
 
-import random
 from collections.abc import Callable
 
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.registry._chunks import ChunkedTable
 from agatethread.registry._evacuations import KnownEvacuations
 from agatethread.registry._following import (
-    FOLLOWED_COUNT,
     choose_followed,
     choose_routes_teller,
     is_enough,
-    knows_more,
+    needs_asking,
 )
+from agatethread.registry._home import HomeChoice, add_home
+from agatethread.registry._knocking import Knocker
 from agatethread.registry._link import HubLink
 from agatethread.registry._presence import DomainView, merge_counts
 from agatethread.registry._report import START_NOT_TOLD
@@ -37,10 +37,6 @@
 #: A followed hub that has not answered for so long is replaced: two polls and a
 #: resend, short beside the seconds in which a change must be in force.
 _HUB_LEASE_S = 1.0
-#: Pause between polls to a hub that did not answer: it may come back at any time.
-_KNOCK_S = 0.4
-#: The same while none answers: nothing can be served until one does.
-_URGENT_KNOCK_S = 0.1
 
 log = make_logger("registry")
 
@@ -103,6 +99,11 @@
         #: The one that tells of routing tables; None while all are to.
         self._routes_teller: HubLink | None = None
         self.links: dict[bytes, HubLink] = {}
+        self._home = HomeChoice(failure_domain, now_s)
+        self._followed: list[HubLink] = []
+        self._knocker = Knocker(
+            failure_domain, is_control, self.links.values, self._knock_at, now_s
+        )
         for seed in seeds:
             self.meet(seed, "")
 
@@ -139,23 +140,49 @@
     def knock_urgently(self) -> None:
         """Ask again at once while no control instance answers."""
         if not self.live():
-            self._knock([])
+            self._knocker.knock([])
 
     def poll(self) -> None:
         """Ask the followed control instances for what is new."""
-        live = self.live()
         self._note_lost()
-        followed = live if self._is_control else self._choose_followed()
+        if self._is_control:
+            followed = self.live()
+            self._ask(followed)
+            self._knocker.knock(followed)
+            return
+        home = self._choose_home()
+        if home:
+            self._leave_all_but(home)
+            self._ask(home)
+            self._knocker.watch(home)
+            return
+        followed = choose_followed(self.live(), self._failure_domain)
+        asked = add_home(followed, self.live(), self._failure_domain)
+        self._ask(asked)
+        if not is_enough(followed):
+            self._knocker.knock(asked)
+        else:
+            self._knocker.knock_at_home(asked)
+
+    def _choose_home(self) -> list[HubLink]:
+        """Choose those at home if others are none the wiser, and bytes are saved."""
+        domain = self._failure_domain
+        if all(link.failure_domain == domain for link in self.links.values()):
+            return []
+        return self._home.choose(self.live())
+
+    def _ask(self, followed: list[HubLink]) -> None:
+        self._followed = followed
         self._routes_teller = choose_routes_teller(followed, self.routes_version)
         for link in followed:
             self._send_poll(link, wants_reply=True)
-        if self._is_control or not is_enough(followed):
-            self._knock(followed)
-        else:
-            self._knock_at_home(followed)
 
-    def _choose_followed(self) -> list[HubLink]:
-        return choose_followed(self.live(), self._failure_domain)
+    def _leave_all_but(self, followed: list[HubLink]) -> None:
+        for link in self.links.values():
+            was_asked = link.seen_index > 0 or link.polled_s > float("-inf")
+            if was_asked and not link.is_left and link not in followed:
+                link.leave()
+                self._acknowledge(link)
 
     def _note_lost(self) -> None:
         for link in self.links.values():
@@ -169,20 +196,6 @@
                     silent_s=round(self._now_s() - link.heard_s, 3),
                 )
 
-    def _knock(self, followed: list[HubLink]) -> None:
-        now_s = self._now_s()
-        pause_s = _KNOCK_S if followed else _URGENT_KNOCK_S
-        silent = [
-            link
-            for link in self.links.values()
-            if link not in followed and now_s - link.knocked_s >= pause_s
-        ]
-        random.shuffle(silent)
-        if followed and not self._is_control:
-            silent = silent[:FOLLOWED_COUNT]
-        for link in silent:
-            self._knock_at(link)
-
     def _knock_at(self, link: HubLink) -> None:
         """Ask whether a control instance is there.
 
@@ -193,22 +206,13 @@
         link.knocked_s = self._now_s()
         self._send_poll(link, wants_reply=True, probe=not self._is_control)
 
-    def _knock_at_home(self, followed: list[HubLink]) -> None:
-        # The own failure domain's control instance is worth following as soon as it
-        # is back: it is the one in sight during a cut.
-        if any(link.failure_domain == self._failure_domain for link in followed):
-            return
-        now_s = self._now_s()
-        for link in self.links.values():
-            at_home = link.failure_domain == self._failure_domain
-            if at_home and now_s - link.knocked_s >= _HUB_LEASE_S:
-                self._knock_at(link)
-
     def _send_poll(self, link: HubLink, wants_reply: bool, probe: bool = False) -> None:
         if wants_reply:
             link.asked_s = self._now_s()
+            link.unanswered_s = min(link.unanswered_s, link.asked_s)
             if not probe:
                 link.polled_s = link.asked_s
+                link.is_left = False
         teller = self._routes_teller
         poll = Poll(
             hub_incarnation=link.incarnation,
@@ -224,6 +228,10 @@
         )
         self._send(RegistryMessage(poll=poll), link.address)
 
+    def _acknowledge(self, link: HubLink) -> None:
+        """Say what arrived; to one that is left, that nothing more needs to."""
+        self._send_poll(link, wants_reply=False, probe=link.is_left)
+
     def tell(self, sightings: list[Sighting]) -> None:
         """Tell the followed control instances what is seen of runs.
 
@@ -233,7 +241,7 @@
             Runs that flows wait for, or that have answered while others wait.
         """
         message = RegistryMessage(sightings=Sightings(runs=sightings))
-        for link in self._choose_followed():
+        for link in self._followed:
             self._send(message, link.address)
 
     # -- what arrives -------------------------------------------------------------
@@ -257,6 +265,7 @@
             self.meet(control.address, control.failure_domain)
         if delta.HasField("hub"):
             link.note_hub(delta.hub, self._now_s())
+            link.controls = frozenset(one.address for one in delta.controls)
         if not delta.runs and not delta.complete:
             self._on_greeting(link)
             return
@@ -267,17 +276,13 @@
         for run in delta.runs:
             self._take_run(link, run)
         if link.take(delta):
-            self._send_poll(link, wants_reply=False)
-        if delta.complete:
+            self._acknowledge(link)
+        if delta.complete and not link.is_left:
             link.complete = True
 
     def _on_greeting(self, link: HubLink) -> None:
         """Ask a control instance that is there, unless one as good tells already."""
-        oldest_s = self._now_s() - _KNOCK_S
-        telling = [
-            one for one in self.live() if one.complete or one.polled_s > oldest_s
-        ]
-        if not telling or knows_more(link, telling):
+        if needs_asking(link, self.live(), self._now_s()):
             self._send_poll(link, wants_reply=True)
 
     def _note_heard(self, link: HubLink, delta: Delta) -> None:
@@ -293,6 +298,7 @@
         if link.incarnation != delta.hub_incarnation:
             link.restart(delta.hub_incarnation)
         link.heard_s = now_s
+        link.unanswered_s = float("inf")
         link.settled = delta.settled
         link.failure_domain = delta.failure_domain
 
@@ -326,7 +332,7 @@
             return
         self.routes_version = table.version
         self._on_routes(table)
-        self._send_poll(link, wants_reply=False)
+        self._acknowledge(link)
 
     def on_evacuations(self, evacuations: Evacuations, source: bytes) -> None:
         """Take the evacuated failure domains, and acknowledge them.
@@ -342,7 +348,7 @@
         if link is None:
             return
         self._evacuations.take(evacuations)
-        self._send_poll(link, wants_reply=False)
+        self._acknowledge(link)
 
     # -- what is known ------------------------------------------------------------
 
--- a/tests/registry/test_evacuations.py
+++ b/tests/registry/test_evacuations.py
@@ -110,26 +110,29 @@
 class EvacuationMachine(RuleBasedStateMachine):
     """Orders, losses, cuts and restarts against what the log holds."""
 
+    layout = ("a", "b", "c")
+
     @initialize(seed=strategies.integers(0, 1_000))
     def begin(self, seed):
-        self.world = World(("a", "b", "c"), seed)
+        self.world = World(self.layout, seed)
         self.version = 0
         self.domains = set()
         self.world.step(5)
 
-    @rule(domain=strategies.sampled_from("abc"), behind=strategies.integers(0, 3))
+    @rule(domain=strategies.sampled_from("abc"), behind=strategies.integers(0, 6))
     def order(self, domain, behind):
         """Take an order; one control instance may not have it yet."""
         self.version += 1
         self.domains ^= {domain}
-        numbers = [number for number in range(3) if number != behind]
+        count = len(self.layout)
+        numbers = [number for number in range(count) if number != behind]
         self.world.evacuate(self.version, *sorted(self.domains), numbers=numbers)
 
     @rule(loss=strategies.sampled_from([0.0, 0.3]))
     def lose(self, loss):
         self.world.loss = loss
 
-    @rule(cut=strategies.sets(strategies.sampled_from([0, 1, 2, 99])))
+    @rule(cut=strategies.sets(strategies.sampled_from([0, 1, 2, 3, 4, 5, 99])))
     def cut(self, cut):
         self.world.cut = {address(number) for number in cut}
 
@@ -153,7 +156,17 @@
         assert self.world.entry._evacuations.version <= max(versions)
 
 
+class HomeEvacuationMachine(EvacuationMachine):
+    """The same where the entry instance may follow its own failure domain only."""
+
+    layout = ("a", "a", "b", "b", "c", "c")
+
+
 TestEvacuationMachine = EvacuationMachine.TestCase
+TestHomeEvacuationMachine = HomeEvacuationMachine.TestCase
+TestHomeEvacuationMachine.settings = settings(
+    max_examples=30, stateful_step_count=20, deadline=None
+)
 TestEvacuationMachine.settings = settings(
     max_examples=30, stateful_step_count=20, deadline=None
 )
--- /dev/null
+++ b/tests/registry/test_home.py
@@ -0,0 +1,333 @@
+import asyncio
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from agatethread.registry import SightingPool, are_silent, is_cut_off
+from agatethread.registry._home import HOME_COUNT
+from agatethread.registry._presence import rank_entries
+from agatethread.registry._subscribers import Subscriber
+from agatethread.wire.registry_pb2 import Sighting
+from tests.fakes import address
+from tests.registry.test_runs import report
+from tests.registry.worlds import World, compressed_table
+
+PAIRS = ("a", "a", "b", "b", "c", "c")
+HOME = {address(0), address(1)}
+AWAY = {address(number) for number in range(2, 6)}
+
+
+def followed(world):
+    """Addresses of those that the entry instance polls."""
+    return {link.address for link in world.entry._followed}
+
+
+def hearers(world):
+    """Control instances that tell the entry instance of changes."""
+    return {
+        place
+        for place, (_, hub) in world.hubs.items()
+        if any(one == world.entry_address for one, _ in hub.entries_in_sight())
+    }
+
+
+class TestHome(unittest.TestCase):
+    """An entry instance in a, with two control instances in each of three domains."""
+
+    def setUp(self):
+        self.world = World(PAIRS)
+        self.world.step(30)
+
+    def test_two_at_home_are_followed_and_nobody_else_tells(self):
+        """What is reported anywhere is told by those at home."""
+        self.world.table(4).report(report())
+        self.world.step(5)
+        self.assertEqual(followed(self.world), HOME)
+        self.assertEqual(hearers(self.world), HOME)
+        self.assertIn("i-1", self.world.told())
+
+    def test_start_is_told_at_home_only(self):
+        """Those at home answer first, and others don't tell the same once more."""
+        world = World(PAIRS)
+        world.cut = {world.entry_address}
+        for number in range(1, 60):
+            world.table(number % 6).report(report(number, place=number))
+        world.step(20)
+        world.cut = AWAY
+        world.step(2)
+        world.cut = set()
+        world.step(30)
+        self.assertEqual(len(world.told()), 59)
+        self.assertEqual(followed(world), HOME)
+        for place in AWAY:
+            self.assertEqual(world.entry.links[place].seen_index, 0)
+
+    def test_one_at_home_is_not_enough(self):
+        """While one is gone, two of other domains are followed; then none again."""
+        self.world.cut = {address(0)}
+        self.world.step(16)
+        self.assertEqual(len(followed(self.world)), 3)
+        self.assertIn(address(1), followed(self.world))
+        self.world.cut = set()
+        self.world.step(60)
+        self.assertEqual(followed(self.world), HOME)
+        self.assertEqual(hearers(self.world), HOME)
+
+    def test_loss_of_both_at_home(self):
+        """Others take over within a second and two polls; nothing is missed."""
+        self.world.table(2).report(report(sequence=1))
+        self.world.step(5)
+        self.world.cut = set(HOME)
+        self.world.table(2).report(report(sequence=2, draining=True))
+        self.world.step(18)
+        self.assertTrue(followed(self.world) <= AWAY)
+        self.assertTrue(self.world.told()["i-1"].draining)
+
+    def test_no_leader_at_home(self):
+        """A table that those at home can't learn of comes from elsewhere."""
+        self.world.leaderless = set(HOME)
+        self.world.step(5)
+        for number in range(2, 6):
+            self.world.hub(number).offer_routes(compressed_table(9))
+        self.world.step(8)
+        self.assertEqual(self.world.entry.routes_version, 9)
+        self.assertEqual(len(followed(self.world) & AWAY), 2)
+        self.world.leaderless = set()
+        self.world.step(40)
+        self.assertEqual(followed(self.world), HOME)
+
+    def test_control_instance_that_is_not_heard_at_home(self):
+        """One that others hear is followed itself, and its runs are held for alive."""
+        cut_off = address(2)
+        self.world.table(2).report(report(sequence=1))
+        self.world.step(5)
+        self.world.cut_pairs = {frozenset((cut_off, place)) for place in HOME}
+        for sequence in range(2, 80):
+            self.world.table(2).report(report(sequence=sequence))
+            self.world.step()
+            self.assertTrue(self.world.entry.is_reporting("i-1"))
+        self.assertTrue(self.world.table(0).find("i-1").silent)
+        self.assertIn(cut_off, followed(self.world))
+
+    def test_one_that_is_left_vouches_for_nothing(self):
+        """What it told once goes stale: a run that all hold for silent is silent."""
+        self.world.cut = {address(0)}
+        for sequence in range(1, 81):
+            self.world.table(2).report(report(sequence=sequence))
+            self.world.step()
+            if sequence == 20:
+                self.world.cut = set()
+        self.assertEqual(followed(self.world), HOME)
+        self.world.step(60)
+        vouches = self.world.entry.is_reporting
+        self.world.step(40, check=lambda: self.assertFalse(vouches("i-1")))
+
+    def test_one_that_is_left_is_not_waited_for(self):
+        """It forgets the entry instance at once, though changes go on."""
+        self.world.cut = {address(0)}
+        self.world.step(20)
+        self.assertTrue(hearers(self.world) & AWAY)
+        self.world.cut = set()
+        for number in range(1, 60):
+            self.world.table(3).report(report(number, place=number))
+            self.world.step()
+        self.assertEqual(hearers(self.world), HOME)
+
+    def test_drain_is_known_when_its_taker_dies(self):
+        """One of another domain takes it, tells all control instances, and dies."""
+        self.world.table(3).report(report(sequence=1))
+        self.world.step(5)
+
+        async def drain():
+            self.world.table(3).report(report(sequence=2, draining=True))
+            waiting = asyncio.ensure_future(self.world.hub(3).spread(1.0))
+            await asyncio.sleep(0)
+            self.world.deliver()
+            return await waiting
+
+        self.assertTrue(asyncio.run(drain()))
+        self.world.cut = {address(3)}
+        self.world.step(2)
+        self.assertTrue(self.world.told()["i-1"].draining)
+
+    def test_cut_off_is_judged_on_silence_that_was_asked_for(self):
+        """A real cut counts, not the end of the one elsewhere that was asked last."""
+        for until in range(40, 60):
+            self.world = World(PAIRS)
+            self.world.step(until)
+            watched = max(
+                (self.world.entry.links[place] for place in AWAY),
+                key=lambda link: -link.asked_s,
+            )
+            self.world.cut = {watched.address}
+            self.world.step(9, check=self.assert_in_touch)
+            self.world.leaderless = set(HOME)
+            self.world.step(30, check=self.assert_in_touch)
+        self.world.cut = set(AWAY)
+        self.world.step(20)
+        self.assertTrue(self.is_cut_off())
+        self.world.cut = set()
+        self.world.step(8)
+        self.assertFalse(self.is_cut_off())
+
+    def assert_in_touch(self):
+        self.assertFalse(self.is_cut_off())
+
+    def is_cut_off(self):
+        links = self.world.entry.links.values()
+        silent = are_silent(links, "a", self.world.clock())
+        return silent and is_cut_off(links, self.world.entry.live(), "a")
+
+    def test_little_crosses_between_domains_while_nothing_changes(self):
+        """One look at another domain each 0.8 s."""
+        sent = []
+        send = self.world.entry._send
+        self.world.entry._send = lambda one, to: (sent.append(to), send(one, to))
+        self.world.step(80)
+        self.assertLessEqual(sum(to in AWAY for to in sent), 11)
+
+
+class TestRanks(unittest.TestCase):
+    @given(st.dictionaries(st.sampled_from("abcde"), st.integers(1, 40), min_size=1))
+    def test_hubs_that_hear_their_own_domain_rank_all_apart(self, sizes):
+        """Each entry instance has a rank of its own among all."""
+        ranks = []
+        for domain, size in sizes.items():
+            entries = [(domain, address(number)) for number in range(size)]
+            ranks += rank_entries(entries, sizes).values()
+        count = sum(sizes.values())
+        self.assertEqual({rank.count for rank in ranks}, {count})
+        self.assertEqual(sorted(rank.position for rank in ranks), list(range(count)))
+
+    def test_hubs_tell_each_other_the_numbers(self):
+        """One at home of 1 entry instance knows of those that others hear."""
+        world = World(PAIRS)
+        world.step(30)
+        for number in (2, 3):
+            for nth in range(5):
+                world.hub(number)._subscribers[address(200 + nth)] = _subscriber(world)
+        world.step(8)
+        self.assertEqual(world.entry.links[address(0)].rank.count, 6)
+
+
+def _subscriber(world):
+    one = Subscriber()
+    one.failure_domain, one.heard_s = "b", world.clock() + 1.0
+    return one
+
+
+sighted = st.builds(
+    Sighting,
+    label=st.integers(1, 3),
+    waiting=st.integers(0, 4),
+    silent_ms=st.integers(0, 2_000),
+)
+
+
+def by_label(digest):
+    """Sightings by label: runs with as many flows come in no particular order."""
+    return {one.label: one.SerializeToString() for one in digest.runs}
+
+
+class TestSums(unittest.TestCase):
+    @given(st.lists(st.tuples(st.integers(1, 6), st.sampled_from("ab"), sighted)))
+    def test_sums_tell_what_each_would(self, seen):
+        """With the other domain's sums the digest is that of one that hears all."""
+        whole, home, away = SightingPool(), SightingPool(), SightingPool()
+        for number, domain, one in seen:
+            source = f"{domain}{number}".encode()
+            whole.take(source, domain, [one], 10.0)
+            pool = home if domain == "a" else away
+            pool.take(source, domain, [one], 10.0)
+        home.take_sums("b", away.sum_up_domain("b", 10.0).runs, 10.0)
+        self.assertEqual(*(by_label(pool.digest(10.0)) for pool in (home, whole)))
+
+    def test_nothing_counts_twice(self):
+        """An entry instance that is in a sum and heard besides counts once."""
+        home, away = SightingPool(), SightingPool()
+        for number in range(3):
+            one = Sighting(label=1, waiting=2, silent_ms=500)
+            away.take(b"%d" % number, "b", [one], 10.0)
+        home.take(b"1", "b", [Sighting(label=1, waiting=2, silent_ms=500)], 10.0)
+        home.take_sums("b", away.sum_up_domain("b", 10.0).runs, 10.0)
+        (one,) = home.digest(10.0).runs
+        self.assertEqual((one.waiting, one.observers, one.domains), (6, 3, 1))
+
+    def test_sum_that_is_not_said_again_is_forgotten(self):
+        """A sum is as old as its parts already."""
+        home = SightingPool()
+        home.take_sums("b", [Sighting(label=1, waiting=9, observers=4)], 10.0)
+        self.assertEqual(len(home.digest(10.2).runs), 1)
+        self.assertEqual(len(home.digest(10.4).runs), 0)
+
+
+class HomeMachine(RuleBasedStateMachine):
+    """Reports and drains at any control instance, among cuts, losses and elections."""
+
+    places = st.integers(0, 5)
+
+    @initialize(seed=st.integers(0, 1_000))
+    def begin(self, seed):
+        self.world = World(PAIRS, seed)
+        self.sequences = {}
+        self.drained = set()
+        self.world.step(30)
+
+    @rule(number=st.integers(1, 4), at=places, drains=st.booleans())
+    def report(self, number, at, drains):
+        """A run reports, and may say that it drains."""
+        sequence = self.sequences[number] = self.sequences.get(number, 0) + 1
+        if drains:
+            self.drained.add(f"i-{number:x}")
+        is_draining = f"i-{number:x}" in self.drained
+        one = report(number, sequence, place=number, draining=is_draining)
+        self.world.table(at).report(one)
+
+    @rule(places=st.sets(places, max_size=4))
+    def cut(self, places):
+        self.world.cut = {address(number) for number in places}
+
+    @rule(pairs=st.sets(st.tuples(places, places), max_size=4))
+    def cut_pairs(self, pairs):
+        self.world.cut_pairs = {frozenset(map(address, pair)) for pair in pairs}
+
+    @rule(places=st.sets(places, max_size=4))
+    def elect(self, places):
+        self.world.leaderless = {address(number) for number in places}
+
+    @rule(loss=st.sampled_from([0.0, 0.2]))
+    def lose(self, loss):
+        self.world.loss = loss
+
+    @rule(count=st.integers(1, 15))
+    def wait(self, count):
+        self.world.step(count)
+
+    @rule()
+    def heal(self):
+        """Without faults all is known within the seconds that count."""
+        self.world.cut, self.world.cut_pairs = set(), set()
+        self.world.loss, self.world.leaderless = 0.0, set()
+        self.world.step(30)
+        told = self.world.told()
+        for run_id in self.drained:
+            assert told[run_id].draining, run_id
+        assert len(told) == len(self.sequences)
+        assert len(self.world.entry._followed) >= HOME_COUNT
+
+    @invariant()
+    def nothing_goes_back(self):
+        """A run that was told to drain is not told to work again."""
+        drained = set()
+        for run in self.world.runs:
+            assert run.draining or run.id not in drained
+            if run.draining:
+                drained.add(run.id)
+
+
+TestHomeMachine = HomeMachine.TestCase
+TestHomeMachine.settings = settings(
+    max_examples=40, stateful_step_count=25, deadline=None
+)
--- a/tests/registry/worlds.py
+++ b/tests/registry/worlds.py
@@ -34,6 +34,8 @@
         self.random = random.Random(seed)
         self.loss = 0.0
         self.cut = set()
+        #: Pairs of addresses that don't reach each other.
+        self.cut_pairs = set()
         self.leaderless = set()
         self.sent_bytes = self.received_bytes = 0
         self.queue = []
@@ -85,6 +87,7 @@
         self.publishers[place] = EvacuationPublisher(
             hub.entries_in_sight, self.sender(place), self.clock
         )
+        hub.list_hubs = link.live
         self.links[place] = link
 
     def sender(self, source):
@@ -92,7 +95,9 @@
             data = message.SerializeToString()
             self.sent_bytes += len(data)
             lost = self.random.random() < self.loss
-            if not lost and not self.cut & {source, target}:
+            is_cut = self.cut & {source, target}
+            is_cut = is_cut or frozenset((source, target)) in self.cut_pairs
+            if not lost and not is_cut:
                 self.queue.append((data, source, target))
 
         return send
@@ -116,8 +121,8 @@
             else:
                 self.links[target].on_delta(message.delta, source)
 
-    def step(self, count=1, step_s=0.1):
-        """Let time pass."""
+    def step(self, count=1, step_s=0.1, check=lambda: None):
+        """Let time pass, and check something each time."""
         for number in range(count):
             self.clock.value_s += step_s
             for table, hub in self.hubs.values():
@@ -130,6 +135,7 @@
                 for link in self.links.values():
                     link.poll()
             self.deliver()
+            check()
 
     def table(self, number):
         return self.hubs[address(number)][0]
