--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -8,6 +8,7 @@
 import asyncio
 import importlib
 import zlib
+from collections.abc import Mapping
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
@@ -135,6 +136,7 @@
             lambda _: None,
             self.counters,
         )
+        self.subscription.on_number = self._on_number
         self.hub.list_hubs = self.subscription.live
 
     def _registry_of(self, target: str) -> bytes:
@@ -332,6 +334,10 @@
         if self.runs.take(run):
             self.hub.tell_soon()
 
+    def _on_number(self, number: int, sequence: int, starts: Mapping[str, int]) -> None:
+        if self.runs.take_number(number, sequence, starts):
+            self.hub.tell_soon()
+
     # -- state --------------------------------------------------------------------
 
     def measures(self) -> Measures:
--- a/src/agatethread/registry/_entries.py
+++ b/src/agatethread/registry/_entries.py
@@ -6,6 +6,9 @@
 from agatethread.registry._report import START_NOT_TOLD, Report
 from agatethread.wire.registry_pb2 import BackendRun
 
+#: Reports of a run of which one is told whole.
+_WHOLE_EACH = 8
+
 
 class RunEntry:
     """A run, and when it was heard of.
@@ -16,7 +19,7 @@
         What is known of it.
     """
 
-    __slots__ = ("changed_index", "direct_index", "heard_s", "run")
+    __slots__ = ("changed_index", "details_index", "direct_index", "heard_s", "run")
 
     def __init__(self, run: BackendRun):
         self.run = run
@@ -25,6 +28,8 @@
         self.changed_index = 0
         #: Index of the last report that came directly from the run.
         self.direct_index = 0
+        #: Index of the last report that told more than that the run goes on.
+        self.details_index = 0
 
 
 class RunIndex:
@@ -62,6 +67,10 @@
         is_none = namesake is None or namesake.run.id == except_id
         return None if is_none else namesake
 
+    def find_numbered(self, number: int) -> RunEntry | None:
+        """Find the run that datagrams name by a number."""
+        return self._by_number.get(number)
+
     def tell_starts(self) -> bool:
         """Tell whether any live run has told when it started."""
         return any(
@@ -129,6 +138,57 @@
     return entry.changed_index
 
 
+def is_told_by_number(entry: RunEntry, after: int) -> bool:
+    """Tell whether a run's report may be told by its number.
+
+    Each eighth is told whole: a receiver that could not take the run then may by now.
+
+    Parameters
+    ----------
+    entry : RunEntry
+        One that reported after the index.
+    after : int
+        What the receiver has.
+
+    Returns
+    -------
+    bool
+        Whether the receiver was told all of it before.
+    """
+    run = entry.run
+    if not (run.number and run.started_ms) or run.sequence % _WHOLE_EACH == 0:
+        return False
+    return max(entry.changed_index, entry.details_index) <= after
+
+
+def take_number(entry: RunEntry, sequence: int, started_ms: int, now_s: float) -> bool:
+    """Take a report that was told by its number.
+
+    Parameters
+    ----------
+    entry : RunEntry
+        What is known of the run.
+    sequence : int
+        Of the report.
+    started_ms : int
+        Start of the run as the sender told it whole.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    bool
+        False if it is not about this run, or older than what is known.
+    """
+    run = entry.run
+    is_old = run.ended or sequence <= run.sequence
+    if is_old or run.started_ms != started_ms:
+        return False
+    run.sequence = sequence
+    entry.heard_s = now_s
+    return True
+
+
 def report_of(run: BackendRun) -> Report:
     """Write what another control instance knows of a run as the run's report.
 
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -156,7 +156,7 @@
 
     def _greeting(self) -> RegistryMessage:
         """Make a reply that tells of no runs, and so leaves what the receiver has."""
-        message = self._deltas.write(0, [], 0)
+        message = self._deltas.write(0, 0)
         self._add_reply(message.delta)
         return message
 
@@ -192,6 +192,7 @@
         subscriber.presence = poll.presence
         subscriber.routes_version = poll.routes_version
         subscriber.without_routes = poll.without_routes
+        subscriber.takes_numbers = poll.takes_numbers
         subscriber.evacuations_version = poll.evacuations_version
         subscriber.heard_s = self._now_s()
         if poll.wants_reply:
@@ -217,7 +218,7 @@
         self._told_count = self._resent_count = 0
         self._forget_silent(now_s)
         # Nearly all have the same index, so a message is made once for all.
-        prepared: dict[tuple[int, bool], list[RegistryMessage]] = {}
+        prepared: dict[tuple[int, bool, bool], list[RegistryMessage]] = {}
         turns = order_turns(
             self._in_sight(now_s), self._failure_domain, self._next_turn
         )
@@ -225,7 +226,7 @@
             if self._told_count >= self._limit_count:
                 self._next_turn = address
                 break
-            key = (subscriber.unsent_after(now_s), subscriber.is_control)
+            key = subscriber.lacks(now_s)
             if key not in prepared:
                 prepared[key] = self._deltas.write_after(*key)
             self._told_count += len(prepared[key])
@@ -250,10 +251,11 @@
                 del self._subscribers[address]
 
     def _reply(self, subscriber: Subscriber, address: bytes) -> None:
-        after = subscriber.unsent_after(self._now_s())
-        messages = self._deltas.write_after(after, subscriber.is_control)
+        lacks = subscriber.lacks(self._now_s())
+        after = lacks[0]
+        messages = self._deltas.write_after(*lacks)
         if not messages:
-            messages = [self._deltas.write(after, [], after)]
+            messages = [self._deltas.write(after, after)]
             messages[-1].delta.complete = True
         messages = messages[: max(1, self._limit_count - self._told_count)]
         self._told_count += len(messages)
--- a/src/agatethread/registry/_link.py
+++ b/src/agatethread/registry/_link.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass, field
 
+from agatethread.observability import Event, make_logger
 from agatethread.registry._presence import NO_RANK, EntryRank
 from agatethread.wire.registry_pb2 import Delta, Dispatchers, DomainCounts, HubState
 
 #: Messages that are acknowledged together: half of those sent at a time.
 _ACKNOWLEDGED = 4
 
+log = make_logger("registry")
+
 
 @dataclass
 class HubLink:
@@ -51,6 +54,31 @@
     #: Runs that it holds for alive: the start time of the newest by id.
     reporting: dict[str, int] = field(default_factory=dict)
 
+    def note_heard(self, delta: Delta, now_s: float) -> None:
+        """Note that it has said something.
+
+        Parameters
+        ----------
+        delta : Delta
+            Its message.
+        now_s : float
+            Present time.
+        """
+        if not self.in_sight:
+            self.in_sight = True
+            log.info(
+                Event.CONTROL_IN_SIGHT,
+                address=self.address.hex(),
+                failure_domain=delta.failure_domain,
+                settled=delta.settled,
+            )
+        if self.incarnation != delta.hub_incarnation:
+            self.restart(delta.hub_incarnation)
+        self.heard_s = now_s
+        self.unanswered_s = float("inf")
+        self.settled = delta.settled
+        self.failure_domain = delta.failure_domain
+
     def leave(self) -> None:
         """Stop to follow it; what it told goes stale from here on."""
         self.is_left = True
@@ -97,7 +125,7 @@
         if not delta.complete and self.unacknowledged_count < _ACKNOWLEDGED:
             return False
         self.unacknowledged_count = 0
-        return is_new or bool(delta.runs)
+        return is_new or bool(delta.runs or delta.reporting)
 
     def restart(self, incarnation: int) -> None:
         """Start anew, since the instance has.
--- /dev/null
+++ b/src/agatethread/registry/_run_logs.py
@@ -0,0 +1,113 @@
+"""Says in the log what became of runs, and which reports were not taken and why."""
+
+from agatethread.observability import Event, make_logger
+from agatethread.registry._admission import Verdict
+from agatethread.registry._entries import RunEntry
+from agatethread.registry._report import Report
+from agatethread.wire.registry_pb2 import BackendRun
+
+log = make_logger("registry")
+
+
+def log_not_taken(
+    report: Report, verdict: Verdict, holder: RunEntry | None, now_s: float
+) -> None:
+    """Log a report that does not count.
+
+    Parameters
+    ----------
+    report : Report
+        The report.
+    verdict : Verdict
+        Why not.
+    holder : RunEntry or None
+        The run of another id that holds its address.
+    now_s : float
+        Present time.
+    """
+    log.info(
+        Event.REPORT_NOT_TAKEN,
+        run=report.id,
+        started_ms=report.started_ms,
+        why=verdict.value,
+        holder=holder.run.id if holder else None,
+        holder_heard_ago_s=round(now_s - holder.heard_s, 3) if holder else None,
+    )
+
+
+def log_end_not_taken(run: BackendRun, started_ms: int) -> None:
+    """Log an end that is not that of the known run.
+
+    Parameters
+    ----------
+    run : BackendRun
+        The known run.
+    started_ms : int
+        Start of the one that has ended.
+    """
+    log.info(
+        Event.END_NOT_TAKEN,
+        run=run.id,
+        started_ms=run.started_ms,
+        ended_started_ms=started_ms,
+    )
+
+
+def log_reports(run: BackendRun, is_new: bool) -> None:
+    """Log a report that entry instances are told of.
+
+    Parameters
+    ----------
+    run : BackendRun
+        The run.
+    is_new : bool
+        Whether it is the first one.
+    """
+    log.info(
+        Event.BACKEND_REPORTS,
+        run=run.id,
+        started_ms=run.started_ms,
+        service=run.service,
+        sequence=run.sequence,
+        draining=run.draining,
+        new=is_new,
+        warm_up_ms=run.warm_up_ms,
+    )
+
+
+def log_stopped(run: BackendRun, age_s: float) -> None:
+    """Log a run that stopped reporting.
+
+    Parameters
+    ----------
+    run : BackendRun
+        The run.
+    age_s : float
+        Time since its last report.
+    """
+    log.warning(
+        Event.BACKEND_STOPPED,
+        run=run.id,
+        started_ms=run.started_ms,
+        service=run.service,
+        last_report_ago_s=round(age_s, 3),
+    )
+
+
+def log_ended(run: BackendRun, reason: str) -> None:
+    """Log the end of a run.
+
+    Parameters
+    ----------
+    run : BackendRun
+        The run.
+    reason : str
+        How it is known.
+    """
+    log.info(
+        Event.BACKEND_ENDED,
+        run=run.id,
+        started_ms=run.started_ms,
+        service=run.service,
+        why=reason,
+    )
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -5,10 +5,9 @@
 draining to ended, and a later run of the same id replaces it with all that was known.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from agatethread.exceptions import ReportRefusedError
-from agatethread.observability import Event, make_logger
 from agatethread.registry._admission import (
     KEPT_S,
     Known,
@@ -20,11 +19,20 @@
     RunEntry,
     RunIndex,
     describe,
+    is_told_by_number,
     last_index,
     report_of,
     run_of,
+    take_number,
 )
 from agatethread.registry._report import START_NOT_TOLD, Report
+from agatethread.registry._run_logs import (
+    log_end_not_taken,
+    log_ended,
+    log_not_taken,
+    log_reports,
+    log_stopped,
+)
 from agatethread.wire.registry_pb2 import BackendRun
 
 #: Reporting intervals without a report before a run gets no new work. Two may be lost
@@ -36,8 +44,6 @@
 #: A pause between two sweeps that means that this process did not run meanwhile.
 _PAUSE_S = 1.0
 
-log = make_logger("registry")
-
 
 class RunTable:
     """Runs by id, each with the index of its last change.
@@ -110,10 +116,13 @@
         if entry is None:
             return False
 
+        details = entry.run.slots, entry.run.warm_up_ms
         changed = self._refresh(entry, report)
         if not changed:
             self.index += 1
         self._entries.note_report(entry, self.index)
+        if details != (entry.run.slots, entry.run.warm_up_ms):
+            entry.details_index = self.index
         return changed
 
     def _judge_start(self, report: Report) -> Verdict:
@@ -146,22 +155,10 @@
         if verdict is Verdict.STARTS:
             return self._admit(report)
         if verdict is not Verdict.OVERTAKEN:
-            self._log_not_taken(report, verdict)
+            holder = self._entries.find_holder(report.address, report.id)
+            log_not_taken(report, verdict, holder, self._now_s())
         return None
 
-    def _log_not_taken(self, report: Report, verdict: Verdict) -> None:
-        holder = self._entries.find_holder(report.address, report.id)
-        log.info(
-            Event.REPORT_NOT_TAKEN,
-            run=report.id,
-            started_ms=report.started_ms,
-            why=verdict.value,
-            holder=holder.run.id if holder else None,
-            holder_heard_ago_s=(
-                round(self._now_s() - holder.heard_s, 3) if holder else None
-            ),
-        )
-
     def _admit(self, report: Report) -> RunEntry:
         earlier = self._entries.find(report.id)
         if earlier is not None and not earlier.run.ended:
@@ -187,16 +184,7 @@
         run.warm_up_ms = warm_up_ms
         if changed:
             self._mark(entry)
-            log.info(
-                Event.BACKEND_REPORTS,
-                run=run.id,
-                started_ms=run.started_ms,
-                service=run.service,
-                sequence=run.sequence,
-                draining=run.draining,
-                new=is_new,
-                warm_up_ms=run.warm_up_ms,
-            )
+            log_reports(run, is_new)
         return changed
 
     def leave(self, run_id: str, started_ms: int = START_NOT_TOLD) -> bool:
@@ -252,6 +240,35 @@
         entry.run.silent = run.silent
         return changed
 
+    def take_number(
+        self, number: int, sequence: int, starts: Mapping[str, int]
+    ) -> bool:
+        """Take a report to another control instance that it told by its number.
+
+        Parameters
+        ----------
+        number : int
+            Of the run.
+        sequence : int
+            Of the report.
+        starts : mapping of str to int
+            Starts of the runs that it holds for alive, by id, as it told them whole.
+
+        Returns
+        -------
+        bool
+            Whether entry instances must be told of it.
+        """
+        entry = self._entries.find_numbered(number)
+        if entry is None or entry.run.id not in starts:
+            return False
+        started_ms, now_s = starts[entry.run.id], self._now_s()
+        if not take_number(entry, sequence, started_ms, now_s) or not entry.run.silent:
+            return False
+        entry.run.silent = False
+        self._mark(entry)
+        return True
+
     def _take_end(self, ended: BackendRun, reason: str) -> bool:
         entry = self._entries.find(ended.id)
         if entry is None or entry.run.started_ms < ended.started_ms:
@@ -259,20 +276,11 @@
         if entry.run.ended:
             return False
         if not end_is_of(entry.run, ended.started_ms):
-            self._log_end_not_taken(entry.run, ended.started_ms)
+            log_end_not_taken(entry.run, ended.started_ms)
             return False
         self._end(entry, reason)
         return True
 
-    @staticmethod
-    def _log_end_not_taken(run: BackendRun, started_ms: int) -> None:
-        log.info(
-            Event.END_NOT_TAKEN,
-            run=run.id,
-            started_ms=run.started_ms,
-            ended_started_ms=started_ms,
-        )
-
     def _remember_end(
         self, earlier: RunEntry | None, ended: BackendRun, reason: str
     ) -> bool:
@@ -287,13 +295,7 @@
         entry.heard_s = self._now_s()
         self._entries.free_address(entry)
         self._mark(entry)
-        log.info(
-            Event.BACKEND_ENDED,
-            run=run.id,
-            started_ms=run.started_ms,
-            service=run.service,
-            why=reason,
-        )
+        log_ended(run, reason)
 
     def _mark(self, entry: RunEntry) -> None:
         self.index += 1
@@ -354,13 +356,11 @@
             return
         run.silent = True
         self._mark(entry)
-        log.warning(
-            Event.BACKEND_STOPPED,
-            run=run.id,
-            started_ms=run.started_ms,
-            service=run.service,
-            last_report_ago_s=round(age_s, 3),
-        )
+        log_stopped(run, age_s)
+
+    def is_told_by_number(self, run_id: str, after: int) -> bool:
+        """Tell whether a run's number is enough for one that has all up to an index."""
+        return is_told_by_number(self._entries.find(run_id), after)
 
     # -- what to tell -------------------------------------------------------------
 
--- a/src/agatethread/registry/_subscribers.py
+++ b/src/agatethread/registry/_subscribers.py
@@ -36,6 +36,7 @@
         "routes_version",
         "seen_index",
         "sent_index",
+        "takes_numbers",
         "unseen_since_s",
         "without_routes",
     )
@@ -43,6 +44,7 @@
     def __init__(self) -> None:
         self.failure_domain = ""
         self.is_control = False
+        self.takes_numbers = False
         self.presence = PRESENCE_UNKNOWN
         self.heard_s = 0.0
         self.seen_index = 0
@@ -92,6 +94,22 @@
             return max(self.seen_index, self.sent_index)
         return self.seen_index
 
+    def lacks(self, now_s: float) -> tuple[int, bool, bool]:
+        """Find what it is to be told now; alike for all that are told the same.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        tuple of (int, bool, bool)
+            Index after which it is told, whether of reports that change nothing, too,
+            and whether of these by number.
+        """
+        return self.unsent_after(now_s), self.is_control, self.takes_numbers
+
     def start_routes(self, version: int, now_s: float) -> bool:
         """Decide whether it is sent a routing table now, and note that it is.
 
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -4,7 +4,7 @@
 follows all the others.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.registry._chunks import ChunkedTable
@@ -43,6 +43,10 @@
 Send = Callable[[RegistryMessage, bytes], None]
 
 
+def _pass_over(number: int, sequence: int, starts: Mapping[str, int]) -> None:
+    """Take no report."""
+
+
 class Subscription:
     """Follows control instances and hands on what they say.
 
@@ -98,6 +102,9 @@
         self.routes_version = 0
         #: The one that tells of routing tables; None while all are to.
         self._routes_teller: HubLink | None = None
+        #: Takes a report that a control instance tells by its number, its sequence, and
+        #: the starts that this one told before; only control instances are told so.
+        self.on_number: Callable[[int, int, Mapping[str, int]], None] = _pass_over
         self.links: dict[bytes, HubLink] = {}
         self._home = HomeChoice(failure_domain, now_s)
         self._followed: list[HubLink] = []
@@ -225,6 +232,7 @@
             probe=probe,
             without_routes=teller is not None and teller is not link,
             evacuations_version=self._evacuations.version,
+            takes_numbers=self._is_control,
         )
         self._send(RegistryMessage(poll=poll), link.address)
 
@@ -260,13 +268,13 @@
         if link is None:
             self._counters["registry_stranger"] += 1
             return
-        self._note_heard(link, delta)
+        link.note_heard(delta, self._now_s())
         for control in delta.controls:
             self.meet(control.address, control.failure_domain)
         if delta.HasField("hub"):
             link.note_hub(delta.hub, self._now_s())
             link.controls = frozenset(one.address for one in delta.controls)
-        if not delta.runs and not delta.complete:
+        if not (delta.runs or delta.reporting or delta.complete):
             self._on_greeting(link)
             return
         if delta.after_index > link.seen_index:
@@ -275,6 +283,8 @@
             return
         for run in delta.runs:
             self._take_run(link, run)
+        for number, sequence in zip(delta.reporting, delta.sequences, strict=False):
+            self.on_number(number, sequence, link.reporting)
         if link.take(delta):
             self._acknowledge(link)
         if delta.complete and not link.is_left:
@@ -285,23 +295,6 @@
         if needs_asking(link, self.live(), self._now_s()):
             self._send_poll(link, wants_reply=True)
 
-    def _note_heard(self, link: HubLink, delta: Delta) -> None:
-        now_s = self._now_s()
-        if not link.in_sight:
-            link.in_sight = True
-            log.info(
-                Event.CONTROL_IN_SIGHT,
-                address=link.address.hex(),
-                failure_domain=delta.failure_domain,
-                settled=delta.settled,
-            )
-        if link.incarnation != delta.hub_incarnation:
-            link.restart(delta.hub_incarnation)
-        link.heard_s = now_s
-        link.unanswered_s = float("inf")
-        link.settled = delta.settled
-        link.failure_domain = delta.failure_domain
-
     def _take_run(self, link: HubLink, run: BackendRun) -> None:
         if run.ended or run.silent:
             link.reporting.pop(run.id, None)
--- a/src/agatethread/registry/_traffic.py
+++ b/src/agatethread/registry/_traffic.py
@@ -18,7 +18,8 @@
     Returns
     -------
     str
-        ``poll``, ``probe``, ``ack``, ``reply``, ``change``, or the body's name.
+        ``poll``, ``probe``, ``ack``, ``reply``, ``change``, ``numbers``, or the name of
+        the body.
     """
     body = message.WhichOneof("body")
     if body == "poll":
@@ -36,7 +37,9 @@
 
 def _name_delta(delta: Delta) -> str:
     # A greeting has neither; it is the answer to a probe.
-    return "change" if delta.runs and not delta.HasField("hub") else "reply"
+    if delta.HasField("hub") or not (delta.runs or delta.reporting):
+        return "reply"
+    return "change" if delta.runs else "numbers"
 
 
 class TrafficCount:
--- a/tests/registry/test_home.py
+++ b/tests/registry/test_home.py
@@ -282,7 +282,7 @@
         if drains:
             self.drained.add(f"i-{number:x}")
         is_draining = f"i-{number:x}" in self.drained
-        one = report(number, sequence, place=number, draining=is_draining)
+        one = report(number, sequence, number, draining=is_draining, started_ms=1_000)
         self.world.table(at).report(one)
 
     @rule(places=st.sets(places, max_size=4))
--- a/tests/registry/test_restarts.py
+++ b/tests/registry/test_restarts.py
@@ -172,6 +172,8 @@
         self.newest = [{}, {}]
         #: Starts of which each table was told that they drain.
         self.drains = [set(), set()]
+        #: Starts that each table has told the other whole, by id.
+        self.told = [{}, {}]
 
     @initialize()
     def start(self):
@@ -222,11 +224,27 @@
     def exchange(self, source):
         for run in self.tables[source].snapshot():
             self.tables[1 - source].take(run)
+            self.told[source][run.id] = run.started_ms
             if not run.silent:
                 self.note(1 - source, run.id, run.started_ms, run.draining)
             elif run.started_ms > self.newest[1 - source].get(run.id, 2**60):
                 self.note(1 - source, run.id, run.started_ms, run.draining)
 
+    @rule(source=tables)
+    def exchange_numbers(self, source):
+        """What was told whole goes on by number; the sequence never goes back."""
+        told, other = self.told[source], self.tables[1 - source]
+        for run in self.tables[source].snapshot():
+            if run.ended or run.silent or told.get(run.id) != run.started_ms:
+                continue
+            before = other.find(run.id)
+            known = (before.started_ms, before.sequence) if before else None
+            other.take_number(run.number, run.sequence, told)
+            if known is not None:
+                after = other.find(run.id)
+                assert (after.started_ms, after.sequence) >= known
+                assert after.started_ms == known[0]
+
     @rule(at=tables, number=numbers)
     def late_end(self, at, number):
         """An end that does not name its start, as it was sent for any of them."""
--- a/tests/registry/worlds.py
+++ b/tests/registry/worlds.py
@@ -88,6 +88,7 @@
             hub.entries_in_sight, self.sender(place), self.clock
         )
         hub.list_hubs = link.live
+        link.on_number = table.take_number
         self.links[place] = link
 
     def sender(self, source):
