--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -50,6 +50,8 @@
     READY = "ready"
     NOT_READY = "not ready"
     CONTROL_IN_SIGHT = "control instance in sight"
+    HOME_IS_ENOUGH = "control followed at home only"
+    HOME_NOT_ENOUGH = "control followed elsewhere too"
     CONTROL_OUT_OF_SIGHT = "control instance out of sight"
 
     # Configurations.
@@ -196,6 +198,8 @@
         Event.READY: frozenset({"version", "backends", "controls"}),
         Event.NOT_READY: frozenset({"version", "backends", "controls"}),
         Event.CONTROL_IN_SIGHT: frozenset({"address", "failure_domain", "settled"}),
+        Event.HOME_IS_ENOUGH: frozenset({"followed"}),
+        Event.HOME_NOT_ENOUGH: frozenset({"at_home", "unheard"}),
         Event.CONTROL_OUT_OF_SIGHT: frozenset(
             {"address", "failure_domain", "silent_s"}
         ),
--- a/src/agatethread/registry/_home.py
+++ b/src/agatethread/registry/_home.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 
+from agatethread.observability import Event, make_logger
 from agatethread.registry._link import HubLink
 
 #: Control instances at home that are enough: the loss of one is borne without a gap.
@@ -26,6 +27,8 @@
 #: would tell it the same once more.
 _FIRST_TELLING_S = 1.0
 
+log = make_logger("registry")
+
 
 def choose_home(
     live: Iterable[HubLink], failure_domain: str, may_be_incomplete: bool = False
@@ -157,6 +160,7 @@
         #: Since when those at home are enough again; None while they are not.
         self._enough_since_s: float | None = float("-inf")
         self._first_heard_s: float | None = None
+        self._is_enough = False
 
     def choose(self, live: Sequence[HubLink]) -> list[HubLink]:
         """Choose those at home, if they are enough.
@@ -176,6 +180,13 @@
             if not live:
                 return []
             self._first_heard_s = now_s
+        home = self._judge(live, now_s)
+        if bool(home) != self._is_enough:
+            self._is_enough = bool(home)
+            self._log_change(home, live)
+        return home
+
+    def _judge(self, live: Sequence[HubLink], now_s: float) -> list[HubLink]:
         is_first = now_s - self._first_heard_s < _FIRST_TELLING_S
         home = choose_home(live, self._failure_domain, is_first)
         if home and not find_unheard(home, live):
@@ -187,3 +198,17 @@
         if self._enough_since_s is None:
             self._enough_since_s = now_s
         return home if now_s - self._enough_since_s >= _REGAINED_S else []
+
+    def _log_change(self, home: Sequence[HubLink], live: Sequence[HubLink]) -> None:
+        if home:
+            followed = [link.address.hex() for link in home]
+            log.info(Event.HOME_IS_ENOUGH, followed=followed)
+            return
+        at_home = [one for one in live if one.failure_domain == self._failure_domain]
+        states = [
+            f"{one.address.hex()} leader={one.hears_leader} settled={one.settled} "
+            f"complete={one.complete}"
+            for one in at_home
+        ]
+        unheard = [address.hex() for address in find_unheard(at_home, live)]
+        log.info(Event.HOME_NOT_ENOUGH, at_home=states, unheard=unheard)
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -194,7 +194,8 @@
     def _note_lost(self) -> None:
         for link in self.links.values():
             # One that is not asked any more says nothing, and is not lost by that.
-            if link.in_sight and link.asked_s - link.heard_s > _HUB_LEASE_S:
+            unanswered_s = self._now_s() - link.unanswered_s
+            if link.in_sight and unanswered_s > _HUB_LEASE_S:
                 link.in_sight = False
                 log.info(
                     Event.CONTROL_OUT_OF_SIGHT,
--- a/tests/registry/test_home.py
+++ b/tests/registry/test_home.py
@@ -4,7 +4,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from logbook import TestHandler
 
+from agatethread.observability import Event
 from agatethread.registry import SightingPool, are_silent, is_cut_off
 from agatethread.registry._home import HOME_COUNT
 from agatethread.registry._presence import rank_entries
@@ -180,6 +182,24 @@
         silent = are_silent(links, "a", self.world.clock())
         return silent and is_cut_off(links, self.world.entry.live(), "a")
 
+    def test_log_tells_each_switch_and_no_loss_that_is_none(self):
+        """One lost answer of one that is seldom asked is no loss of it."""
+        entry = self.world.entry_address
+        with TestHandler() as handler:
+            self.world.cut_pairs = {frozenset((entry, place)) for place in AWAY}
+            self.world.step(8)
+            self.world.cut_pairs = set()
+            self.world.step(40)
+            events = [one.message for one in handler.records]
+            self.assertEqual(events, [])
+            self.world.cut_pairs = {frozenset((entry, address(0)))}
+            self.world.step(20)
+            self.world.cut_pairs = set()
+            self.world.step(60)
+        events = [one.message for one in handler.records]
+        switches = Event.HOME_NOT_ENOUGH, Event.HOME_IS_ENOUGH
+        self.assertEqual([one for one in events if one in switches], [*switches])
+
     def test_little_crosses_between_domains_while_nothing_changes(self):
         """One look at another domain each 0.8 s."""
         sent = []
