--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -8,6 +8,7 @@
 import asyncio
 import importlib
 import zlib
+from collections.abc import Mapping
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
@@ -101,7 +102,9 @@
     def _build_registry(self) -> None:
         settings, now_s = self.settings, self.timers.now_s
         self._transport = RegistryTransport(
-            listen_address(settings.registry, settings.listen_host), self.counters
+            listen_address(settings.registry, settings.listen_host),
+            self.counters,
+            settings.failure_domain,
         )
         self.runs = RunTable(settings.report_interval_s, now_s)
         self.hub = RegistryHub(
@@ -133,6 +136,8 @@
             lambda _: None,
             self.counters,
         )
+        self.subscription.on_number = self._on_number
+        self.hub.list_hubs = self.subscription.live
 
     def _registry_of(self, target: str) -> bytes:
         return pack_address((parse_address(target)[0], self._registry_port))
@@ -330,6 +335,10 @@
         if self.runs.take(run):
             self.hub.tell_soon()
 
+    def _on_number(self, number: int, sequence: int, starts: Mapping[str, int]) -> None:
+        if self.runs.take_number(number, sequence, starts):
+            self.hub.tell_soon()
+
     # -- state --------------------------------------------------------------------
 
     def measures(self) -> Measures:
--- a/src/agatethread/registry/_link.py
+++ b/src/agatethread/registry/_link.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass, field
 
+from agatethread.observability import Event, make_logger
 from agatethread.registry._presence import NO_RANK, EntryRank
 from agatethread.wire.registry_pb2 import Delta, Dispatchers, DomainCounts, HubState
 
 #: Messages that are acknowledged together: half of those sent at a time.
 _ACKNOWLEDGED = 4
 
+log = make_logger("registry")
+
 
 @dataclass
 class HubLink:
@@ -24,6 +27,8 @@
     #: When it was asked last, and whether it has answered as far as the log says.
     asked_s: float = float("-inf")
     in_sight: bool = False
+    #: Since when it has not answered; infinite while nothing was asked.
+    unanswered_s: float = float("inf")
     #: When it was asked last for what is new.
     polled_s: float = float("-inf")
     #: Whether it says that it knows every backend server that reports.
@@ -45,9 +50,43 @@
     serving_told_s: float = float("-inf")
     #: Whether all that it knew has arrived here once.
     complete: bool = False
+    #: Whether this process told it that it does not follow it any more.
+    is_left: bool = False
+    #: Packed addresses of the control instances that it hears, as it said last.
+    controls: frozenset[bytes] = frozenset()
     #: Runs that it holds for alive: the start time of the newest by id.
     reporting: dict[str, int] = field(default_factory=dict)
 
+    def note_heard(self, delta: Delta, now_s: float) -> None:
+        """Note that it has said something.
+
+        Parameters
+        ----------
+        delta : Delta
+            Its message.
+        now_s : float
+            Present time.
+        """
+        if not self.in_sight:
+            self.in_sight = True
+            log.info(
+                Event.CONTROL_IN_SIGHT,
+                address=self.address.hex(),
+                failure_domain=delta.failure_domain,
+                settled=delta.settled,
+            )
+        if self.incarnation != delta.hub_incarnation:
+            self.restart(delta.hub_incarnation)
+        self.heard_s = now_s
+        self.unanswered_s = float("inf")
+        self.settled = delta.settled
+        self.failure_domain = delta.failure_domain
+
+    def leave(self) -> None:
+        """Stop to follow it; what it told goes stale from here on."""
+        self.is_left = True
+        self.complete = False
+
     def note_hub(self, state: HubState, now_s: float) -> None:
         """Note what the control instance sees around it.
 
@@ -92,7 +131,7 @@
         if not delta.complete and self.unacknowledged_count < _ACKNOWLEDGED:
             return False
         self.unacknowledged_count = 0
-        return is_new or bool(delta.runs)
+        return is_new or bool(delta.runs or delta.reporting)
 
     def restart(self, incarnation: int) -> None:
         """Start anew, since the instance has.
@@ -107,4 +146,5 @@
         self.seen_index = 0
         self.settled = False
         self.complete = False
+        self.is_left = False
         self.reporting.clear()
--- a/src/agatethread/registry/_subscribers.py
+++ b/src/agatethread/registry/_subscribers.py
@@ -14,6 +14,9 @@
 #: Time between two tables: those that are overtaken meanwhile need not be sent. A table
 #: of 1,600 routes each 0.08 s is half of a link of 2 Mbit/s.
 _NEXT_ROUTES_S = 0.08
+#: A control instance that polls each 0.3 s and was not heard for so long is not named:
+#: entry instances conclude from it whether their own domain's ones hear all others.
+_CONTROL_HEARD_S = 1.0
 
 
 class Subscriber:
@@ -33,6 +36,7 @@
         "routes_version",
         "seen_index",
         "sent_index",
+        "takes_numbers",
         "unseen_since_s",
         "without_routes",
     )
@@ -40,6 +44,7 @@
     def __init__(self) -> None:
         self.failure_domain = ""
         self.is_control = False
+        self.takes_numbers = False
         self.presence = PRESENCE_UNKNOWN
         self.heard_s = 0.0
         self.seen_index = 0
@@ -89,6 +94,22 @@
             return max(self.seen_index, self.sent_index)
         return self.seen_index
 
+    def lacks(self, now_s: float) -> tuple[int, bool, bool]:
+        """Find what it is to be told now; alike for all that are told the same.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        tuple of (int, bool, bool)
+            Index after which it is told, whether of reports that change nothing, too,
+            and whether of these by number.
+        """
+        return self.unsent_after(now_s), self.is_control, self.takes_numbers
+
     def start_routes(self, version: int, now_s: float) -> bool:
         """Decide whether it is sent a routing table now, and note that it is.
 
@@ -143,13 +164,17 @@
         return is_again
 
 
-def list_controls(subscribers: Mapping[bytes, Subscriber]) -> list[ControlNode]:
-    """List the control instances among subscribers.
+def list_controls(
+    subscribers: Mapping[bytes, Subscriber], now_s: float
+) -> list[ControlNode]:
+    """List the control instances among subscribers that are heard.
 
     Parameters
     ----------
     subscribers : mapping of bytes to Subscriber
         By packed address.
+    now_s : float
+        Present time.
 
     Returns
     -------
@@ -159,7 +184,7 @@
     return [
         ControlNode(address=address, failure_domain=subscriber.failure_domain)
         for address, subscriber in subscribers.items()
-        if subscriber.is_control
+        if subscriber.is_control and now_s - subscriber.heard_s < _CONTROL_HEARD_S
     ]
 
 
