--- a/src/agatethread/balancing/__init__.py
+++ b/src/agatethread/balancing/__init__.py
@@ -12,11 +12,12 @@
 )
 from agatethread.balancing._dispatchers import choose_dispatchers, share_out
 from agatethread.balancing._pressure import PressureGauge
-from agatethread.balancing._records import GroupLoad, Opening
+from agatethread.balancing._records import Elsewhere, GroupLoad, Opening
 from agatethread.balancing._waiting import WaitingLine
 
 __all__ = [
     "PATIENCE_S",
+    "Elsewhere",
     "GroupLoad",
     "Opening",
     "PressureGauge",
--- a/src/agatethread/balancing/_admission.py
+++ b/src/agatethread/balancing/_admission.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from math import inf
 
-from agatethread.balancing._records import GroupLoad, Opening
+from agatethread.balancing._records import Elsewhere, GroupLoad, Opening
 
 #: A caller sends a copy of an opening that nobody answers after 0.2 and 0.6 s, and
 #: gives the flow up after 1.4 s. By then the backend server's answer must have come.
@@ -17,6 +17,8 @@
 #: By how much sooner an opening must be placed in another failure domain: the way there
 #: and back several times, and its bytes are dearer than those at home.
 _CROSSING_S = 0.03
+#: The same within the failure domain: the way there, and what has changed meanwhile.
+_MOVING_S = 0.003
 
 
 class Verdict(Enum):
@@ -72,8 +74,7 @@
     load: GroupLoad,
     ahead_count: int,
     now_s: float,
-    may_hand_over: bool = False,
-    elsewhere_wait_s: float | None = inf,
+    elsewhere: Elsewhere | None = None,
 ) -> Verdict:
     """Decide what becomes of an opening.
 
@@ -87,10 +88,8 @@
         Openings that wait for them and go first.
     now_s : float
         Present time.
-    may_hand_over : bool, optional
-        Whether it may go to another failure domain.
-    elsewhere_wait_s : float or None, optional
-        How long it would wait there; None if nobody knows, so that this one finds out.
+    elsewhere : Elsewhere or None, optional
+        Where else it may be placed; None if nowhere.
 
     Returns
     -------
@@ -100,8 +99,10 @@
     if load.free_count > ahead_count:
         return Verdict.PLACE
     wait_s = expected_wait_s(load, ahead_count)
-    if may_hand_over and (elsewhere_wait_s or 0.0) + _CROSSING_S < wait_s:
-        return Verdict.HAND_OVER
+    if elsewhere is not None:
+        margin_s = _CROSSING_S if elsewhere.crosses else _MOVING_S
+        if (elsewhere.wait_s or 0.0) + margin_s < wait_s:
+            return Verdict.HAND_OVER
     if now_s + wait_s <= latest_place_s(opening):
         return Verdict.WAIT
     return Verdict.REFUSE
--- a/src/agatethread/balancing/_dispatchers.py
+++ b/src/agatethread/balancing/_dispatchers.py
@@ -10,14 +10,11 @@
 
 from xxhash import xxh64_intdigest
 
-#: Slots for each dispatcher. With eight, servers of one dispatcher even out, so that an
-#: opening seldom waits while another's are free; with many more it would place more
-#: openings than a small instance and its link bear.
-_SLOTS_EACH = 8
-#: Entry instances for each dispatcher at least: the others serve callers only.
-_ENTRIES_EACH = 4
-#: What one poll's answer can name.
-_MOST = 16
+#: Slots for each dispatcher: those of one small backend server. Then each entry
+#: instance places some of a crowd's openings, and nobody's link bears those of all.
+_SLOTS_EACH = 2
+#: What a message can name; a domain with far more slots has more of them each.
+_MOST = 128
 
 
 def _weight(dispatcher: bytes, number: int) -> int:
@@ -41,8 +38,7 @@
         where nobody serves.
     """
     by_slots = ceil(slot_count / _SLOTS_EACH)
-    by_entries = ceil(len(entries) / _ENTRIES_EACH)
-    count = min(max(1, by_slots), by_entries, _MOST)
+    count = min(max(1, by_slots), _MOST)
     ranked = sorted(set(entries), key=lambda address: (_weight(address, 0), address))
     return tuple(ranked[:count])
 
--- a/src/agatethread/balancing/_records.py
+++ b/src/agatethread/balancing/_records.py
@@ -49,3 +49,19 @@
     waiting_count: int
     place_count: int
     place_time_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """Where else an opening may be placed.
+
+    Attributes
+    ----------
+    wait_s : float or None
+        How long it would wait there; None if nobody knows, so that it finds out.
+    crosses : bool, optional
+        Whether that is another failure domain.
+    """
+
+    wait_s: float | None
+    crosses: bool = False
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -166,8 +166,7 @@
         self.timers.subscribe(_SWEEP_INTERVAL_S, self.runs.sweep)
         self.timers.subscribe(_SIGHTINGS_INTERVAL_S, self.hub.tell_sightings)
         if self.settings.parts.relays_openings:
-            self.hub.list_dispatchers = self._dispatchers
-            self.hub.list_serving = self._dispatchers.list_serving
+            self.hub.add_dispatchers = self._dispatchers.add_to
             self.timers.subscribe(_DISPATCHERS_INTERVAL_S, self._dispatchers.refresh)
         self._hints = HintKeeper(
             self.settings.data_dir,
--- a/src/agatethread/datapath/_dispatching.py
+++ b/src/agatethread/datapath/_dispatching.py
@@ -3,16 +3,16 @@
 The load that this answers: under pressure a backend server has a slot free for some
 milliseconds only, and none of dozens of instances knows when. One that places all
 flows of a server knows: it counts what it gave out and what it was told to have ended.
-What finds no place waits here, the more urgent first; it goes to another failure domain
-where that is clearly less busy, and is refused at once if nobody takes it in time.
+What finds no place waits here, the more urgent first; it goes to another dispatcher,
+also of another failure domain, where that is clearly less busy, and is refused at once
+if nobody takes it in time.
 
 Nothing here has to survive: what an instance that starts does not know of ends within
 some usual answers, and callers' copies find another way.
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
-from math import inf
+from dataclasses import replace
 
 from agatethread.balancing import (
     GroupLoad,
@@ -22,11 +22,12 @@
     judge_opening,
 )
 from agatethread.datapath._backend import Backend
-from agatethread.datapath._elsewhere import OtherDomains
 from agatethread.datapath._groups import ServerGroups
+from agatethread.datapath._handing_over import OtherDispatchers
 from agatethread.datapath._packets import FlowKey, Packet, pack_flow
 from agatethread.datapath._places import PlaceCounts
 from agatethread.datapath._placing import choose_place
+from agatethread.datapath._taken import Hands, Taken
 from agatethread.datapath._telling import LOAD_PAUSE_S, SIGN_PAUSE_S, LoadTeller
 from agatethread.observability import Counters, Event, Histogram, make_logger
 from agatethread.routing import Route
@@ -47,52 +48,6 @@
 log = make_logger("dispatcher")
 
 
-@dataclass(frozen=True, slots=True)
-class Hands:
-    """What a dispatcher does through the instance that it is part of.
-
-    Attributes
-    ----------
-    forward : callable
-        Sends an opening to a backend server; also gets the runs that did not answer it,
-        and how long its caller has waited.
-    send : callable
-        Sends a registry message to a packed address.
-    table_version : callable
-        Tells the version of the routing table in force.
-    """
-
-    forward: Callable[[Packet, Backend, Sequence[Backend], float], None]
-    send: Callable[[RegistryMessage, bytes], None]
-    table_version: Callable[[], int]
-
-
-@dataclass(frozen=True, slots=True)
-class _Taken:
-    """An opening that was relayed to this instance."""
-
-    packet: Packet
-    relayed: RelayedOpening
-    #: Packed address of the instance that relayed it.
-    sender: bytes
-    opening: Opening
-    tried: tuple[Backend, ...] = ()
-
-    @property
-    def service(self) -> str:
-        return self.relayed.service
-
-    @property
-    def origin(self) -> bytes:
-        """Packed address of the instance that its caller's packets reach."""
-        return self.relayed.origin or self.sender
-
-    @property
-    def may_leave(self) -> bool:
-        """Whether it may go to another failure domain; it does so once at most."""
-        return not self.relayed.hops
-
-
 class OpeningDispatcher:
     """Counts, lines and decisions of one dispatcher.
 
@@ -102,8 +57,8 @@
         Packed registry address of this instance.
     groups : ServerGroups
         Which servers are its own.
-    others : OtherDomains
-        The dispatchers of other failure domains.
+    others : OtherDispatchers
+        Where else openings may be placed.
     hands : Hands
         What it does with an opening.
     now_s : callable
@@ -118,7 +73,7 @@
         self,
         own_address: bytes,
         groups: ServerGroups,
-        others: OtherDomains,
+        others: OtherDispatchers,
         hands: Hands,
         now_s: Callable[[], float],
         counters: Counters,
@@ -131,7 +86,7 @@
         self._now_s = now_s
         self._counters = counters
         self._policies = policies
-        self._lines: dict[str, WaitingLine[_Taken]] = {}
+        self._lines: dict[str, WaitingLine[Taken]] = {}
         self._places = PlaceCounts(now_s)
         self._teller = LoadTeller(self._load_of, hands.send, now_s)
         #: How long callers of openings that were placed here had waited.
@@ -180,10 +135,11 @@
         sender : bytes
             Packed address of the instance that relayed it.
         """
-        pause_s = LOAD_PAUSE_S if relayed.hops else SIGN_PAUSE_S
+        was_handed_over = bool(relayed.origin)
+        pause_s = LOAD_PAUSE_S if was_handed_over else SIGN_PAUSE_S
         if not self._is_same_packet(packet):
             self._take(packet, route, relayed, sender)
-        if relayed.hops or self._places.find(packet.key) is None:
+        if was_handed_over or self._places.find(packet.key) is None:
             self._teller.tell(relayed.service, sender, pause_s)
 
     def _is_same_packet(self, packet: Packet) -> bool:
@@ -208,7 +164,7 @@
             timeout_s=route.timeout_s,
             caller=packet.key.caller,
         )
-        taken = _Taken(packet, relayed, sender, opening)
+        taken = Taken(packet, relayed, sender, opening)
         address = self._others.find_given(packet.key, relayed.service)
         if packet.copy and address is not None:
             # It waits or is tried there, and the copy joins it.
@@ -226,22 +182,25 @@
         placed.backend.fail(placed.since_s, now_s)
         return (*placed.tried, placed.backend)
 
-    def _decide(self, taken: _Taken) -> None:
+    def _decide(self, taken: Taken) -> None:
         now_s = self._now_s()
         line = self._line_of(taken.service)
-        load = self._load_of(taken.service)
-        outlet = self._others.find_least_busy(taken.service)
-        may_leave = taken.may_leave and outlet is not None
+        placing = frozenset(self._groups.count_slots(taken.service))
+        outlet = self._others.find(taken.relayed, placing)
+        # A run that let it come again is no place for it, while there are others.
+        load = self._load_of(taken.service, taken.tried if outlet else ())
         verdict = judge_opening(
             taken.opening,
             load,
             line.count_ahead(taken.opening.urgency),
             now_s,
-            may_leave,
-            outlet.wait_s if outlet else inf,
+            outlet.elsewhere if outlet else None,
         )
         if verdict is Verdict.PLACE and self._place(taken):
             return
+        if not load.place_count and outlet is None and self._place(taken):
+            # Nobody is known who answers, so a server that seems not to is tried.
+            return
         if verdict is Verdict.HAND_OVER and outlet is not None:
             self._hand_over(taken, outlet.address)
             return
@@ -253,7 +212,7 @@
         else:
             self._refuse(taken)
 
-    def _place(self, taken: _Taken) -> bool:
+    def _place(self, taken: Taken) -> bool:
         now_s = self._now_s()
         backend = choose_place(
             self._servers_of(taken.service),
@@ -273,7 +232,7 @@
         self._hands.forward(taken.packet, backend, taken.tried, waited_s)
         return True
 
-    def _refuse(self, taken: _Taken) -> None:
+    def _refuse(self, taken: Taken) -> None:
         load = self._load_of(taken.service)
         self._counters[f"openings_refused_urgency_{taken.opening.urgency}"] += 1
         log.info(
@@ -289,8 +248,9 @@
         returned = ReturnedOpening(opening=taken.relayed, refused=True)
         self._hands.send(RegistryMessage(returned=returned), taken.origin)
 
-    def _hand_over(self, taken: _Taken, address: bytes) -> None:
+    def _hand_over(self, taken: Taken, address: bytes) -> None:
         waited_s = self._now_s() - taken.opening.asked_s
+        crosses = self._others.crosses_to(address)
         self._others.note_given(taken.packet.key, taken.service, address)
         self._counters["openings_handed_over"] += 1
         log.info(
@@ -299,14 +259,16 @@
             service=taken.service,
             dispatcher=address.hex(),
             waited_s=round(waited_s, 3),
+            crosses=crosses,
         )
         relayed = RelayedOpening(
             packet=taken.packet.data,
             service=taken.service,
             table_version=self._hands.table_version(),
-            hops=1,
+            hops=0 if crosses else taken.relayed.hops + 1,
             waited_ms=round(1000 * max(0.0, waited_s)),
             origin=taken.origin,
+            crossed=crosses or taken.relayed.crossed,
         )
         self._hands.send(RegistryMessage(relayed=relayed), address)
 
@@ -359,15 +321,15 @@
             for taken in line.take_expired(now_s):
                 self._refuse(taken)
             self._fill(service)
-            if not self._servers_of(service):
+            if not self._load_of(service).place_count:
                 self._give_back(line)
         for placed in self._places.list_aged(SIGN_PAUSE_S, 2 * SIGN_PAUSE_S):
             # Else it would seem that this instance is gone where a server is.
             self._teller.tell(placed.service, placed.sender, SIGN_PAUSE_S)
         self._teller.tick()
 
-    def _give_back(self, line: "WaitingLine[_Taken]") -> None:
-        """Let senders place those that wait for servers that are gone from here."""
+    def _give_back(self, line: "WaitingLine[Taken]") -> None:
+        """Let senders place those that wait for servers that are gone, or silent."""
         while (taken := line.pop(self._now_s())) is not None:
             self._counters["openings_given_back"] += 1
             returned = ReturnedOpening(opening=taken.relayed)
@@ -383,7 +345,7 @@
 
     # -- load ---------------------------------------------------------------------
 
-    def _line_of(self, service: str) -> "WaitingLine[_Taken]":
+    def _line_of(self, service: str) -> "WaitingLine[Taken]":
         line = self._lines.get(service)
         if line is None:
             line = self._lines[service] = WaitingLine()
@@ -392,8 +354,8 @@
     def _servers_of(self, service: str) -> Sequence[Backend]:
         return self._groups.usable(service, self._own_address)
 
-    def _load_of(self, service: str) -> GroupLoad:
-        servers = self._servers_of(service)
+    def _load_of(self, service: str, tried: Sequence[Backend] = ()) -> GroupLoad:
+        servers = [one for one in self._servers_of(service) if one not in tried]
         return self._places.load(service, servers, len(self._line_of(service)))
 
     def sweep(self) -> None:
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -8,7 +8,6 @@
 
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._cold import ColdLimits
-from agatethread.datapath._dispatching import Hands
 from agatethread.datapath._forwarder import LabelForwarder
 from agatethread.datapath._leaving import Departure
 from agatethread.datapath._pacing import PacedSender
@@ -16,6 +15,7 @@
 from agatethread.datapath._placing import may_take_work
 from agatethread.datapath._readiness import Readiness
 from agatethread.datapath._shared_placing import SharedPlacing
+from agatethread.datapath._taken import Hands
 from agatethread.observability import Counters, Event, Measures, make_logger
 from agatethread.registry import (
     KnownEvacuations,
--- a/src/agatethread/datapath/_places.py
+++ b/src/agatethread/datapath/_places.py
@@ -232,17 +232,16 @@
         Returns
         -------
         GroupLoad
-            Without the places of servers that do not answer, while any does.
+            Without the places of servers that do not answer.
         """
         now_s = self._now_s()
         answering = [one for one in servers if now_s >= one.penalty_until_s]
-        counted = answering or servers
         return GroupLoad(
             free_count=sum(
                 max(0, count_places(one) - self._in_progress.get(one, 0))
-                for one in counted
+                for one in answering
             ),
             waiting_count=waiting_count,
-            place_count=sum(count_places(one) for one in counted),
+            place_count=sum(count_places(one) for one in answering),
             place_time_s=self.usual_s(service),
         )
--- a/src/agatethread/datapath/_shared_placing.py
+++ b/src/agatethread/datapath/_shared_placing.py
@@ -8,12 +8,13 @@
 from dataclasses import replace
 
 from agatethread.datapath._backend import Backend
-from agatethread.datapath._dispatching import Hands, OpeningDispatcher
-from agatethread.datapath._elsewhere import OtherDomains
+from agatethread.datapath._dispatching import OpeningDispatcher
 from agatethread.datapath._flows import FlowLoads
 from agatethread.datapath._groups import ServerGroups
+from agatethread.datapath._handing_over import OtherDispatchers
 from agatethread.datapath._packets import FlowKey, Packet, unpack_flow
 from agatethread.datapath._relaying import OpeningRelay
+from agatethread.datapath._taken import Hands
 from agatethread.exceptions import DatagramError
 from agatethread.observability import Counters
 from agatethread.routing import Route, RouteTable
@@ -91,7 +92,7 @@
         #: Until when what is read may be as old as the last pause.
         self._behind_until_s = now_s()
         self._groups = ServerGroups(failure_domain, runs_of, may_take, now_s)
-        self._others = OtherDomains(failure_domain, now_s)
+        self._others = OtherDispatchers(own_address, failure_domain, now_s)
         own_hands = replace(hands, send=self._send)
         self.dispatcher = OpeningDispatcher(
             own_address,
@@ -234,11 +235,11 @@
             if self._relay.take_back(packet.key):
                 self._refuse(packet, "no_room")
             return
-        if not opening.hops:
+        if not opening.origin:
             if self._relay.take_back(packet.key):
                 self._place_here(packet)
             return
-        # It was handed over from here to another failure domain.
+        # It was handed over from here.
         if self._others.take_given(packet.key) is None:
             return
         route = self._find_route(packet, opening)
--- /dev/null
+++ b/src/agatethread/datapath/_taken.py
@@ -0,0 +1,50 @@
+"""An opening that was relayed to a dispatcher, and what can be done with it."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from agatethread.balancing import Opening
+from agatethread.datapath._backend import Backend
+from agatethread.datapath._packets import Packet
+from agatethread.wire.registry_pb2 import RegistryMessage, RelayedOpening
+
+
+@dataclass(frozen=True, slots=True)
+class Hands:
+    """What a dispatcher does through the instance that it is part of.
+
+    Attributes
+    ----------
+    forward : callable
+        Sends an opening to a backend server; also gets the runs that did not answer it,
+        and how long its caller has waited.
+    send : callable
+        Sends a registry message to a packed address.
+    table_version : callable
+        Tells the version of the routing table in force.
+    """
+
+    forward: Callable[[Packet, Backend, Sequence[Backend], float], None]
+    send: Callable[[RegistryMessage, bytes], None]
+    table_version: Callable[[], int]
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """An opening that was relayed to this instance."""
+
+    packet: Packet
+    relayed: RelayedOpening
+    #: Packed address of the instance that relayed it.
+    sender: bytes
+    opening: Opening
+    tried: tuple[Backend, ...] = ()
+
+    @property
+    def service(self) -> str:
+        return self.relayed.service
+
+    @property
+    def origin(self) -> bytes:
+        """Packed address of the instance that its caller's packets reach."""
+        return self.relayed.origin or self.sender
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -21,7 +21,7 @@
     PRESSURE_BEGINS = "pressure begins: openings are relayed"
     PRESSURE_ENDS = "pressure ends: openings are placed here"
     OPENING_RELAYED = "opening relayed"
-    OPENING_HANDED_OVER = "opening handed over to another failure domain"
+    OPENING_HANDED_OVER = "opening handed over"
     OPENING_REFUSED = "opening refused: no room in time"
     DISPATCHER_SILENT = "dispatcher silent: it gets no openings"
 
@@ -134,7 +134,7 @@
             {"flow", "copy", "service", "dispatcher", "waited_s", "table_version"}
         ),
         Event.OPENING_HANDED_OVER: frozenset(
-            {"flow", "service", "dispatcher", "waited_s"}
+            {"flow", "service", "dispatcher", "waited_s", "crosses"}
         ),
         Event.OPENING_REFUSED: frozenset(
             {
--- a/src/agatethread/registry/_dispatchers.py
+++ b/src/agatethread/registry/_dispatchers.py
@@ -9,10 +9,17 @@
 
 from collections.abc import Callable, Iterable, Iterator, Sequence
 
+from xxhash import xxh32_intdigest
+
 from agatethread.balancing import choose_dispatchers
 from agatethread.registry._link import HubLink
 from agatethread.registry._presence import Subscriber
-from agatethread.wire.registry_pb2 import PRESENCE_SERVING, BackendRun, Dispatchers
+from agatethread.wire.registry_pb2 import (
+    PRESENCE_SERVING,
+    BackendRun,
+    Dispatchers,
+    HubState,
+)
 
 #: An instance that polls each 0.4 s and was not heard for so long is left out: openings
 #: that are relayed to a dead one wait for the caller's next copy.
@@ -199,6 +206,25 @@
                 yield link, one
 
 
+def digest_of(known: Sequence[Dispatchers]) -> int:
+    """Sum up who the dispatchers are, so that only changes have to be told.
+
+    Parameters
+    ----------
+    known : sequence of Dispatchers
+        In the order of their failure domains.
+
+    Returns
+    -------
+    int
+        32 bits; 0 where nobody is known.
+    """
+    if not known:
+        return 0
+    data = b"".join(one.SerializeToString(deterministic=True) for one in known)
+    return xxh32_intdigest(data) or 1
+
+
 class DispatcherDirectory:
     """What a control instance tells of dispatchers.
 
@@ -232,6 +258,7 @@
         #: Before it has heard its entry instances it would choose among a few of them.
         self._chooses_from_s = now_s() + _HEARD_S
         self._known: Sequence[Dispatchers] = ()
+        self._digest = 0
         self._serving: Sequence[bytes] = ()
 
     def __call__(self) -> Sequence[Dispatchers]:
@@ -244,15 +271,22 @@
         """
         return self._known
 
-    def list_serving(self) -> Sequence[bytes]:
-        """List the entry instances of the own failure domain that ask this instance.
+    def add_to(self, state: HubState, subscriber: Subscriber) -> None:
+        """Add to a reply what the receiver lacks of this.
 
-        Returns
-        -------
-        sequence of bytes
-            Packed addresses of those that serve.
+        Parameters
+        ----------
+        state : HubState
+            Goes with the reply; it is changed.
+        subscriber : Subscriber
+            The receiver. Another control instance of the domain is also told which
+            entry instances ask this one.
         """
-        return self._serving
+        state.dispatchers_digest = self._digest
+        if subscriber.dispatchers_digest != self._digest:
+            state.dispatchers.extend(self._known)
+        if subscriber.is_control and subscriber.failure_domain == self._failure_domain:
+            state.serving.extend(self._serving)
 
     def refresh(self) -> None:
         """Choose anew; to be called a few times a second."""
@@ -270,3 +304,4 @@
                 list_heard_by_others(domain, controls, now_s),
             )
         self._known = [heard[domain] for domain in sorted(heard)]
+        self._digest = digest_of(self._known)
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -23,7 +23,7 @@
 from agatethread.wire.registry_pb2 import (
     PRESENCE_LEAVING,
     Delta,
-    Dispatchers,
+    HubState,
     Poll,
     RegistryMessage,
     Sightings,
@@ -93,10 +93,8 @@
         self._ranks: dict[bytes, EntryRank] = {}
         #: Entry instances of the own failure domain that are heard.
         self._home_count = 0
-        #: Tells who places openings in each failure domain; nobody, unless it is set.
-        self.list_dispatchers: Callable[[], Iterable[Dispatchers]] = tuple
-        #: Tells which entry instances of the own failure domain serve.
-        self.list_serving: Callable[[], Iterable[bytes]] = tuple
+        #: Adds to a reply who places openings, where a deployment calls for that.
+        self.add_dispatchers: Callable[[HubState, Subscriber], None] = lambda *_: None
         #: Lists the other control instances that answered lately.
         self.list_hubs: Callable[[], Iterable[HubLink]] = tuple
 
@@ -195,6 +193,7 @@
         subscriber.routes_version = poll.routes_version
         subscriber.without_routes = poll.without_routes
         subscriber.takes_numbers = poll.takes_numbers
+        subscriber.dispatchers_digest = poll.dispatchers_digest
         subscriber.evacuations_version = poll.evacuations_version
         subscriber.heard_s = self._now_s()
         if poll.wants_reply:
@@ -268,9 +267,7 @@
             rank = EntryRank(0, self._home_count)
         messages[-1].delta.hub.entries = rank.count
         messages[-1].delta.hub.rank = rank.position
-        messages[-1].delta.hub.dispatchers.extend(self.list_dispatchers())
-        if subscriber.is_control and subscriber.failure_domain == self._failure_domain:
-            messages[-1].delta.hub.serving.extend(self.list_serving())
+        self.add_dispatchers(messages[-1].delta.hub, subscriber)
         if subscriber.presence == PRESENCE_LEAVING:
             # Only then it is asked for; counting costs a look at every subscriber.
             counts = count_domain(self._subscribers, address, self._now_s())
--- a/src/agatethread/registry/_link.py
+++ b/src/agatethread/registry/_link.py
@@ -44,6 +44,7 @@
     domain_told_s: float = float("-inf")
     #: Who places openings in each failure domain, as it said last, and when.
     dispatchers: tuple[Dispatchers, ...] = ()
+    dispatchers_digest: int = 0
     dispatchers_told_s: float = float("-inf")
     #: Entry instances of its failure domain that serve and ask it, and when it said so.
     serving: tuple[bytes, ...] = ()
@@ -105,6 +106,8 @@
             self.domain_told_s = now_s
         if state.dispatchers:
             self.dispatchers = tuple(state.dispatchers)
+            self.dispatchers_digest = state.dispatchers_digest
+        if self.dispatchers and state.dispatchers_digest == self.dispatchers_digest:
             self.dispatchers_told_s = now_s
         if state.serving:
             self.serving = tuple(state.serving)
--- a/src/agatethread/registry/_subscribers.py
+++ b/src/agatethread/registry/_subscribers.py
@@ -23,6 +23,7 @@
     """What a subscriber has said that it has, and what it was sent."""
 
     __slots__ = (
+        "dispatchers_digest",
         "evacuations_sent_s",
         "evacuations_sent_version",
         "evacuations_version",
@@ -45,6 +46,8 @@
         self.failure_domain = ""
         self.is_control = False
         self.takes_numbers = False
+        #: Digest of the dispatchers that it was told last.
+        self.dispatchers_digest = 0
         self.presence = PRESENCE_UNKNOWN
         self.heard_s = 0.0
         self.seen_index = 0
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -234,6 +234,7 @@
             without_routes=teller is not None and teller is not link,
             evacuations_version=self._evacuations.version,
             takes_numbers=self._is_control,
+            dispatchers_digest=link.dispatchers_digest,
         )
         self._send(RegistryMessage(poll=poll), link.address)
 
