--- a/src/agatethread/balancing/__init__.py
+++ b/src/agatethread/balancing/__init__.py
@@ -12,19 +12,38 @@
 )
 from agatethread.balancing._dispatchers import choose_dispatchers, share_out
 from agatethread.balancing._pressure import PressureGauge
+from agatethread.balancing._quality import fresh_from_s, judge_service
+from agatethread.balancing._quality_records import (
+    NO_ANSWERS,
+    NO_EVIDENCE,
+    UNJUDGED,
+    AnswerCounts,
+    Evidence,
+    Judgement,
+    Quality,
+)
 from agatethread.balancing._records import GroupLoad, Opening
 from agatethread.balancing._waiting import WaitingLine
 
 __all__ = [
+    "NO_ANSWERS",
+    "NO_EVIDENCE",
     "PATIENCE_S",
+    "UNJUDGED",
+    "AnswerCounts",
+    "Evidence",
     "GroupLoad",
+    "Judgement",
     "Opening",
     "PressureGauge",
+    "Quality",
     "Verdict",
     "WaitingLine",
     "choose_dispatchers",
     "expected_wait_s",
+    "fresh_from_s",
     "judge_opening",
+    "judge_service",
     "latest_place_s",
     "share_out",
 ]
