--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -27,6 +27,7 @@
     DispatcherDirectory,
     EvacuationPublisher,
     Hints,
+    QualityKeeper,
     RegistryHub,
     RegistryTransport,
     Report,
@@ -50,6 +51,7 @@
 _SWEEP_INTERVAL_S = 0.2
 _SIGHTINGS_INTERVAL_S = 0.1
 _DISPATCHERS_INTERVAL_S = 0.2
+_QUALITY_INTERVAL_S = 0.1
 _MEMBERS_INTERVAL_S = 0.25
 _REMEMBER_INTERVAL_S = 0.5
 #: Reporting intervals after which every backend server that lives has reported here.
@@ -119,6 +121,9 @@
             lambda: self.subscription.live(),
             now_s,
         )
+        self.quality: QualityKeeper | None = None
+        if settings.parts.judges_answers:
+            self.quality = self._make_quality()
         self._evacuations = EvacuationPublisher(
             self.hub.entries_in_sight, self._transport.send, now_s
         )
@@ -134,6 +139,17 @@
             self.counters,
         )
 
+    def _make_quality(self) -> QualityKeeper:
+        return QualityKeeper(
+            self.settings.failure_domain,
+            lambda: (run for _, run in self.runs.changes_after(0, False)),
+            self.hub.entries_in_sight,
+            lambda: [link.address for link in self.subscription.live()],
+            self._transport.send,
+            self.timers.now_s,
+            self.counters,
+        )
+
     def _registry_of(self, target: str) -> bytes:
         return pack_address((parse_address(target)[0], self._registry_port))
 
@@ -163,6 +179,8 @@
         if self.settings.parts.relays_openings:
             self.hub.list_dispatchers = self._dispatchers
             self.timers.subscribe(_DISPATCHERS_INTERVAL_S, self._dispatchers.refresh)
+        if self.quality:
+            self.timers.subscribe(_QUALITY_INTERVAL_S, self.quality.tick)
         self._hints = HintKeeper(
             self.settings.data_dir,
             self.runs,
@@ -324,6 +342,8 @@
             self.subscription.on_delta(message.delta, source)
         elif body == "sightings":
             self.hub.on_sightings(message.sightings, source)
+        elif self.quality:
+            self.quality.on_message(message, source)
 
     def _on_run(self, run: BackendRun) -> None:
         if self.runs.take(run):
@@ -359,6 +379,8 @@
             "policies": asdict(self.settings.policies),
             "counters": dict(self.counters),
         }
+        if self.quality:
+            dump["quality"] = self.quality.dump()
         if self.node is not None:
             dump["log"] = dump_log(self.node)
         return dump
--- a/src/agatethread/datapath/__init__.py
+++ b/src/agatethread/datapath/__init__.py
@@ -1,6 +1,6 @@
 """Forwards packets that carry a 32-bit label and keeps nothing to do so."""
 
-from agatethread.datapath._backend import Backend, label_of
+from agatethread.datapath._backend import Backend
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._flows import FlowLoads
 from agatethread.datapath._forwarder import LabelForwarder
@@ -9,6 +9,7 @@
 from agatethread.datapath._packets import FlowKey, Packet, PacketCodec
 from agatethread.datapath._placing import choose_backend
 from agatethread.datapath._readiness import Readiness
+from agatethread.registry import label_of
 
 __all__ = [
     "Backend",
--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -1,10 +1,8 @@
 """One run of a backend server, and what an entry instance has seen of it."""
 
-from xxhash import xxh32_intdigest
-
 from agatethread.datapath._packets import FlowKey
 from agatethread.observability import Event, make_logger
-from agatethread.registry import START_NOT_TOLD
+from agatethread.registry import label_of
 from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire import unpack_address
 from agatethread.wire.registry_pb2 import BackendRun
@@ -30,31 +28,6 @@
 log = make_logger("backends")
 
 
-def label_of(number: int, started_ms: int = START_NOT_TOLD) -> int:
-    """Derive the label that packets carry from the number and start of a run.
-
-    Every entry instance derives the same, so none has to remember labels given out.
-    Each start has a label of its own: an instance that has not heard of a start yet
-    would else take its flows for those of the run before, and reset them.
-
-    Parameters
-    ----------
-    number : int
-        64 bits that name the backend server.
-    started_ms : int, optional
-        When the run started.
-
-    Returns
-    -------
-    int
-        32 bits, never 0: a caller that knows no backend server sends 0.
-    """
-    data = number.to_bytes(8, "big")
-    if started_ms != START_NOT_TOLD:
-        data += started_ms.to_bytes(8, "big")
-    return xxh32_intdigest(data) or 1
-
-
 class Backend:
     """One run of a backend server, with this instance's own counts.
 
@@ -97,6 +70,8 @@
         "waiting",
         "waits_since_s",
         "warm_s",
+        "weighed_until_s",
+        "weight",
     )
 
     def __init__(self, run: BackendRun, policies: Policies = DEFAULT_POLICIES):
@@ -127,6 +102,10 @@
         self.shares_label = False
         #: When it stops being slow after its start.
         self.warm_s = 0.0
+        #: Share of its usual new work that control instances leave to it, 0 to 1, and
+        #: until when that is believed; see `usable_weight`.
+        self.weight = 1.0
+        self.weighed_until_s = 0.0
         #: Open flows and unanswered requests that this instance has seen.
         self.flows = 0
         self.in_flight = 0
@@ -144,6 +123,21 @@
         #: When a caller last showed that it did not hear from it.
         self.unanswered_s = 0.0
 
+    def usable_weight(self, now_s: float) -> float:
+        """Tell which share of its usual new work it gets.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        float
+            0 to 1; 1 where nothing was told lately.
+        """
+        return self.weight if now_s < self.weighed_until_s else 1.0
+
     def is_gone(self, now_s: float) -> bool:
         """Tell whether it is held for gone on evidence that is fresh.
 
--- a/src/agatethread/datapath/_flows.py
+++ b/src/agatethread/datapath/_flows.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Collection
 
+from agatethread.datapath._answers import AnswerWatch
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._packets import FlowKey, Packet
 from agatethread.observability import Histogram
@@ -73,6 +74,8 @@
         self._flows: dict[FlowKey, Flow] = {}
         #: Runs that some flow has waited for since anybody asked last.
         self._waited_for: set[Backend] = set()
+        #: Set where backend servers are judged by their answers.
+        self.watch: AnswerWatch | None = None
         #: Time from an opening, and from a request, until the caller has its answer.
         self.opening_s = Histogram()
         self.answer_s = Histogram()
@@ -113,6 +116,8 @@
             if flow is None:
                 return
         elif flow.backend is not backend:
+            if self.watch and flow.busy and not flow.opened:
+                self.watch.leave(flow.backend)
             flow.tried += (flow.backend,)
             self._move(flow, backend)
         flow.waits_since_s = now_s
@@ -158,12 +163,25 @@
             self._move(flow, backend)
         flow.seen_s = now_s
         if packet.closes or packet.resets:
+            if self.watch:
+                self._watch_end(self.watch, flow, packet, now_s)
             self._remove(packet.key, flow)
             return
         self._note_answer(flow, packet, now_s)
         if packet.payload_bytes:
             self._note_request(flow, packet, now_s)
 
+    @staticmethod
+    def _watch_end(
+        watch: AnswerWatch, flow: Flow, packet: Packet, now_s: float
+    ) -> None:
+        """Note an answer that the caller acknowledges as it closes the flow."""
+        before = flow.acknowledged
+        if before is not None and _is_after(packet.acknowledged, before):
+            answer_bytes = (packet.acknowledged - before) & _MASK
+            watch.answer(packet.key, answer_bytes, not packet.payload_bytes, now_s)
+        watch.end(packet.key)
+
     def _note_answer(self, flow: Flow, packet: Packet, now_s: float) -> None:
         before = flow.acknowledged
         if not flow.opened or before is None:
@@ -172,6 +190,10 @@
         if _is_after(packet.acknowledged, before):
             flow.acknowledged = packet.acknowledged
             flow.backend.answer(now_s)
+            if self.watch:
+                answer_bytes = (packet.acknowledged - before) & _MASK
+                is_prompt = not packet.payload_bytes
+                self.watch.answer(packet.key, answer_bytes, is_prompt, now_s)
             if flow.busy:
                 took_s = now_s - flow.waits_since_s
                 self.answer_s.record(took_s)
@@ -209,11 +231,15 @@
             self._set_busy(flow, True)
             flow.waits_since_s = now_s
             flow.progress = packet.sequence
+            if self.watch:
+                self.watch.ask(packet.key, flow.backend, now_s)
         elif (packet.sequence - flow.progress) & _MASK >= _WINDOW_BYTES:
             # More than a window since then: the first of it was acknowledged.
             flow.backend.answer(now_s)
             flow.waits_since_s = now_s
             flow.progress = packet.sequence
+            if self.watch:
+                self.watch.ask(packet.key, flow.backend, now_s)
 
     def waited_for(self) -> set[Backend]:
         """List the runs that open flows wait for.
@@ -261,6 +287,8 @@
         self._set_busy(flow, False)
         flow.backend.flows -= 1
         del self._flows[key]
+        if self.watch:
+            self.watch.forget(key)
 
     def sweep(self, now_s: float) -> None:
         """Drop what has not been seen for long.
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -10,6 +10,7 @@
 from agatethread.datapath._cold import ColdLimits
 from agatethread.datapath._dispatching import Hands
 from agatethread.datapath._forwarder import LabelForwarder
+from agatethread.datapath._judging import REPORT_INTERVAL_S, AnswerReports
 from agatethread.datapath._leaving import Departure
 from agatethread.datapath._pacing import PacedSender
 from agatethread.datapath._packets import PacketCodec
@@ -189,10 +190,22 @@
         )
         if settings.parts.relays_openings:
             self.forwarder.shared_placing = self._make_shared_placing(codec)
+        self.answers = self._make_answers() if settings.parts.judges_answers else None
         self.subscription.presence = PRESENCE_AWAY
         self._heard_control_s = 0.0
         self.is_ready = False
 
+    def _make_answers(self) -> AnswerReports:
+        return AnswerReports(
+            self.forwarder,
+            self.view,
+            self._settings.failure_domain,
+            self.subscription.live,
+            self._transport.send,
+            self.timers.now_s,
+            self.counters,
+        )
+
     def _make_shared_placing(self, codec: PacketCodec) -> SharedPlacing:
         now_s, forwarder = self.timers.now_s, self.forwarder
         hands = Hands(
@@ -231,6 +244,8 @@
         self.timers.subscribe(_SWEEP_INTERVAL_S, self._sweep)
         if self.forwarder.shared_placing:
             self.timers.subscribe(_LINE_INTERVAL_S, self.forwarder.shared_placing.tick)
+        if self.answers:
+            self.timers.subscribe(REPORT_INTERVAL_S, self.answers.tick)
         self.subscription.poll()
         log.info(Event.ENTRY_STARTED, instance=self._settings.name)
 
@@ -272,6 +287,8 @@
             self.subscription.on_evacuations(message.evacuations, source)
         elif body == "sightings":
             self.forwarder.shared.take(message.sightings)
+        elif body == "weights" and self.answers:
+            self.answers.on_weights(message.weights, source)
         elif self.forwarder.shared_placing:
             self.forwarder.shared_placing.on_message(message, source)
 
@@ -370,7 +387,7 @@
         dict
             Ready for JSON.
         """
-        return {
+        return (self.answers.dump() if self.answers else {}) | {
             "instance": self._settings.name,
             "failure_domain": self._settings.failure_domain,
             "ready": self.is_ready,
--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -17,6 +17,10 @@
 #: Share of a request that an open flow stands for: callers of long flows send one each
 #: two seconds or so, which takes 22 ms.
 _FLOW_LOAD = 0.02
+#: Share of its usual new work that a run without any gets as trials. Without trials
+#: nobody would see that it is well again: with a dozen requests a second it gets one or
+#: two, which show it within two seconds, and a tenth of the harm is left if it is not.
+TRIAL_SHARE = 0.1
 
 
 def choose_service(targets: Sequence[Target], draw: Callable[[], float]) -> str:
@@ -110,6 +114,34 @@
     return load
 
 
+def is_spared(
+    backend: Backend, now_s: float, draw: Callable[[], float] = random.random
+) -> bool:
+    """Tell whether a run is left out of this opening, while another can take it.
+
+    The load that this answers: an instance has less than one request in progress at a
+    time, so a cost that is twice as high would take all work away from a run that is
+    to get half. Left out by chance it gets the share that was told, from any number of
+    instances.
+
+    Parameters
+    ----------
+    backend : Backend
+        The run.
+    now_s : float
+        Present time.
+    draw : callable, optional
+        Returns a number from 0 to 1.
+
+    Returns
+    -------
+    bool
+        False always where it has all of its share.
+    """
+    weight = backend.usable_weight(now_s)
+    return weight < 1.0 and draw() >= max(weight, TRIAL_SHARE)
+
+
 def choose_backend(
     backends: Iterable[Backend],
     failure_domain: str,
@@ -144,7 +176,7 @@
             continue
         cost = (
             backend in tried,
-            now_s < backend.penalty_until_s,
+            now_s < backend.penalty_until_s or is_spared(backend, now_s),
             _cost(backend, failure_domain, now_s, policies),
             random.random(),
         )
@@ -208,7 +240,7 @@
         factor = policies.cold_factor if now_s < backend.warm_s else 1.0
         cost = (
             backend in tried,
-            now_s < backend.penalty_until_s,
+            now_s < backend.penalty_until_s or is_spared(backend, now_s),
             factor * (count + 1) / backend.slots,
             random.random(),
         )
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -33,6 +33,7 @@
     BACKEND_AVOIDED = "backend server avoided: it does not answer"
     BACKEND_UNREACHABLE = "backend server unreachable: its flows end"
     BACKEND_ANSWERS = "backend server answers again"
+    BACKEND_WEIGHED = "backend server's share of new work"
     LABEL_SHARED = "two runs share a label"
 
     # Backend servers, as a control instance hears them.
@@ -41,6 +42,7 @@
     BACKEND_ENDED = "backend server ended"
     REPORT_NOT_TAKEN = "report not taken"
     END_NOT_TAKEN = "end not taken: it may mean an earlier run"
+    BACKEND_JUDGED = "backend server judged by its answers"
     NOT_SPREAD = "not known everywhere in time"
 
     # What an instance knows and whether it serves.
@@ -167,6 +169,7 @@
             }
         ),
         Event.BACKEND_ANSWERS: frozenset({"run"}),
+        Event.BACKEND_WEIGHED: frozenset({"run", "percent", "percent_before"}),
         Event.LABEL_SHARED: frozenset({"kept", "other"}),
         Event.BACKEND_REPORTS: frozenset(
             {
@@ -189,6 +192,24 @@
         Event.REPORT_NOT_TAKEN: frozenset(
             {"run", "started_ms", "why", "holder", "holder_heard_ago_s"}
         ),
+        Event.BACKEND_JUDGED: frozenset(
+            {
+                "run",
+                "service",
+                "quality",
+                "quality_before",
+                "weight",
+                "chance",
+                "answers",
+                "slow",
+                "failed",
+                "recent_answers",
+                "recent_bad",
+                "fresh_answers",
+                "fresh_bad",
+                "observers",
+            }
+        ),
         Event.NOT_SPREAD: frozenset({"what", "run"}),
         Event.TABLE_IN_FORCE: frozenset({"version", "version_before", "routes"}),
         Event.EVACUATIONS_IN_FORCE: frozenset({"domains"}),
--- /dev/null
+++ b/tests/datapath/test_judging.py
@@ -0,0 +1,176 @@
+import asyncio
+import tempfile
+import unittest
+
+from agatethread.control import RoutingControl, RoutingControlSettings
+from agatethread.datapath import LabelEntryInstance, LabelEntrySettings
+from agatethread.datapath._judging import AnswerReports
+from agatethread.observability import Counters
+from agatethread.registry import HubLink, Report
+from agatethread.settings import Parts
+from agatethread.wire import pack_address
+from agatethread.wire.control_pb2 import ControlMember
+from agatethread.wire.registry_pb2 import RegistryMessage, RunWeight, RunWeights
+from tests.datapath.worlds import CODEC, HOST, ForwarderCase, opening, packet, run
+from tests.fakes import address, free_port, own_host
+
+FIRST, SECOND, STRANGER = address(1), address(2), address(9)
+
+
+class TestAnswerReports(ForwarderCase):
+    def setUp(self):
+        super().setUp()
+        for nth in (1, 2):
+            self.view.take(run(nth))
+        self.told = []
+        self.links = [HubLink(SECOND, "b"), HubLink(FIRST, "a")]
+        self.reports = AnswerReports(
+            self.forwarder,
+            self.view,
+            "a",
+            lambda: self.links,
+            lambda message, target: self.told.append((message, target)),
+            self.clock,
+            self.counters,
+        )
+
+    def request(self, port, took_s):
+        """One request on a flow of its own; return its backend server's number."""
+        _, number = self.handle(opening(port))[0]
+        self.handle(packet(port, number, payload_bytes=80))
+        self.clock.value_s += took_s
+        self.handle(packet(port, number, acknowledged=1_500))
+        return number
+
+    def tick(self):
+        self.clock.value_s += 0.2
+        self.reports.tick()
+
+    def test_answers_go_to_the_control_instance_that_is_followed_first(self):
+        """One message for all answers, to the own failure domain's, and no other."""
+        for port in range(5):
+            self.request(port, 0.01)
+        self.tick()
+        self.assertEqual(self.told, [])
+        self.request(6, 0.01)
+        number = self.request(7, 0.15)
+        self.tick()
+        ((message, target),) = self.told
+        self.assertEqual(target, FIRST)
+        slow = [one.label for one in message.answers.runs if one.slow]
+        self.assertEqual(slow, [packet(1, number).label])
+        self.assertEqual(self.counters["answers_seen"], 2)
+        self.assertEqual(self.counters["answers_slow"], 1)
+        self.assertIn(f"{HOST:08x}:443", self.reports.dump()["usual_answer_s"])
+
+    def test_nobody_to_tell_is_no_error(self):
+        """What is seen while no control instance is in sight is lost."""
+        for port in range(6):
+            self.request(port, 0.01)
+        self.links.clear()
+        self.tick()
+        self.assertEqual(self.told, [])
+
+    def test_weights_are_taken_from_those_in_sight_only(self):
+        """A stranger takes no work from anybody."""
+        label = packet(1, 1).label
+        weights = RunWeights(runs=[RunWeight(label=label, percent=0)])
+        self.reports.on_weights(weights, STRANGER)
+        self.assertEqual(self.reports.weighed_count(), 0)
+        self.reports.on_weights(weights, SECOND)
+        self.assertEqual(self.reports.dump()["weights"], {"i-1": 0.0})
+        numbers = [self.request(port, 0.01) for port in range(100)]
+        self.assertLess(numbers.count(1), 20)
+
+    def test_open_flows_stay_where_they_are(self):
+        """A run without new work keeps its flows."""
+        number = self.request(1, 0.01)
+        label = packet(1, number).label
+        weights = RunWeights(runs=[RunWeight(label=label, percent=0)])
+        self.reports.on_weights(weights, FIRST)
+        sent = self.handle(packet(1, number, sequence=300, payload_bytes=80))
+        self.assertEqual(sent, [("forward", number)])
+
+
+class TestPart(unittest.IsolatedAsyncioTestCase):
+    """The part in whole instances, on and off."""
+
+    def make_entry(self, number, registry_port, **fields):
+        host = own_host(number)
+        settings = LabelEntrySettings(
+            name=f"entry-{number}",
+            failure_domain="a",
+            datagrams=f"{host}:{free_port()}",
+            registry=f"{host}:{registry_port}",
+            seeds=(pack_address((own_host(4), registry_port)),),
+            grace_s=1.0,
+            link_bits_per_s=1e9,
+            **fields,
+        )
+        return LabelEntryInstance(settings, CODEC, Counters())
+
+    def make_control(self, registry_port, **fields):
+        target = f"{own_host(4)}:{free_port()}"
+        settings = RoutingControlSettings(
+            name="control-1",
+            failure_domain="a",
+            target=target,
+            registry=f"{own_host(4)}:{registry_port}",
+            api=target,
+            seeds=(ControlMember(name=target, target=target, api=target, voter=True),),
+            is_first_start=True,
+            report_interval_s=10.0,
+            losses_borne=0,
+            data_dir=self.folder.name,
+            **fields,
+        )
+        return RoutingControl(settings, Counters())
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+
+    async def test_off_there_is_nothing(self):
+        """No watch, no judge, and messages of the part are left alone."""
+        port = free_port()
+        entry, control = self.make_entry(5, port), self.make_control(port)
+        for one in (entry, control):
+            self.addAsyncCleanup(one.on_stop)
+        self.assertIsNone(entry.answers)
+        self.assertIsNone(entry.forwarder.loads.watch)
+        self.assertIsNone(control.quality)
+        for body in ("answers", "weights", "pooled"):
+            message = RegistryMessage()
+            getattr(message, body).SetInParent()
+            entry._on_message(message, address(1))
+            control._on_message(message, address(1))
+        for state in (entry.dump(), control.dump()):
+            self.assertFalse({"weights", "usual_answer_s", "quality"} & state.keys())
+
+    async def test_on_messages_pass_both_ways(self):
+        """Two entry instances see slow answers, and are told who is slow."""
+        port, parts = free_port(), Parts(judges_answers=True)
+        control = self.make_control(port, parts=parts)
+        entries = [self.make_entry(number, port, parts=parts) for number in (5, 6)]
+        for one in (control, *entries):
+            await one.start()
+            self.addAsyncCleanup(one.stop)
+        for nth in range(1, 7):
+            one = run(nth)
+            control.runs.report(
+                Report(one.id, nth, "tab", one.address, "a", 2, 1, False, 0.0)
+            )
+        control.hub.flush()
+        for _ in range(100):
+            await asyncio.sleep(0.05)
+            for entry in entries:
+                runs = entry.view.of_service("tab")
+                for backend in runs if len(runs) == 6 else ():
+                    is_slow = backend.id == "i-3"
+                    entry.answers._watch._count(backend, slow=is_slow)
+            if all(entry.answers.weighed_count() for entry in entries):
+                break
+        for entry in entries:
+            self.assertEqual([*entry.dump()["weights"]], ["i-3"])
+        (judged,) = control.dump()["quality"]
+        self.assertIn(judged["quality"], ("doubtful", "ejected"))
