--- a/src/agatethread/balancing/_quality.py
+++ b/src/agatethread/balancing/_quality.py
@@ -52,10 +52,20 @@
 _FRESH_BAD = 3
 _FRESH_BAD_SHARE = 0.75
 _FRESH_GOOD = 2
+#: A run that was cleared is judged for so long by what came after: until nothing from
+#: before is in the window any more.
+_CLEARED_S = 2.5
 #: Without enough of either for so long there is too little to judge by.
 _LONGEST_DOUBT_S = 2.0
 #: Good answers in a row that end an ejection: a slow server shows one by chance.
 _GOOD_BEFORE_PROBATION = 2
+#: Share of its usual new work that an ejected server gets as trials. Without trials
+#: nobody would see that it is well again: with a dozen requests a second it gets one or
+#: two, which show it within two seconds, and a tenth of the harm is left if it is not.
+TRIAL_SHARE = 0.1
+#: Answers within the window that need no trials: twice what trials bring. Callers send
+#: requests on flows that were open before, and each trial would wait behind those.
+_SEEN_WITHOUT_TRIALS = 6
 #: An ejection lasts so long at least: what is in progress on the server goes on to its
 #: end, and answers to what came before say nothing of what it does now.
 _SHORTEST_EJECTION_S = 0.5
@@ -134,7 +144,7 @@
     return min(1.0, max(LEAST_SHARE, share))
 
 
-def chance_of(evidence: Evidence, share: float) -> float:
+def chance_of(evidence: Evidence, share: float, only_fresh: bool = False) -> float:
     """Compute how likely the evidence is on a server like the others.
 
     Parameters
@@ -143,6 +153,8 @@
         What was seen of a run.
     share : float
         Share of bad answers that is usual.
+    only_fresh : bool, optional
+        Whether what came before the run's present state is left out.
 
     Returns
     -------
@@ -154,8 +166,10 @@
     if evidence.domains > 1 and evidence.bad_domains < _LEAST_DOMAINS:
         # Others reach it and are served: the fault lies on the way of one.
         return 1.0
-    both = (evidence.recent, evidence.whole)
-    return min(tail_chance(one.bad, one.answers, share) for one in both)
+    windows = (evidence.recent, evidence.whole)
+    if only_fresh:
+        windows = (evidence.fresh,)
+    return min(tail_chance(one.bad, one.answers, share) for one in windows)
 
 
 def fresh_from_s(judged: Judgement) -> float:
@@ -201,14 +215,25 @@
     Judgement
         What is decided now.
     """
-    chance = chance_of(evidence, share)
+    chance = chance_of(evidence, share, _is_cleared(before, now_s))
     quality = _next_quality(before, evidence, chance, now_s)
     since_s = before.since_s if quality is before.quality else now_s
     weight = _weight_of(quality, now_s - since_s)
+    if quality is Quality.EJECTED and _needs_trials(evidence):
+        weight = TRIAL_SHARE
     seen_s = now_s if evidence.whole.answers else before.seen_s
     return Judgement(quality, weight, since_s, seen_s, chance)
 
 
+def _needs_trials(evidence: Evidence) -> bool:
+    return evidence.whole.answers < _SEEN_WITHOUT_TRIALS
+
+
+def _is_cleared(judged: Judgement, now_s: float) -> bool:
+    """Tell whether a run was found good not long ago."""
+    return judged.quality is Quality.GOOD and now_s - judged.since_s < _CLEARED_S
+
+
 def _next_quality(
     before: Judgement, evidence: Evidence, chance: float, now_s: float
 ) -> Quality:
@@ -279,7 +304,7 @@
     Returns
     -------
     dict of int to Judgement
-        Of those that are held for other than good.
+        Of those that are held for other than good, or were not long ago.
     """
     share = usual_share(evidence[label].whole for label in domains if label in evidence)
     judged = {
@@ -295,7 +320,8 @@
     suspects = {
         label: one for label, one in judged.items() if one.quality is not Quality.GOOD
     }
-    return _keep_enough(before, suspects, domains)
+    cleared = {label: one for label, one in judged.items() if _is_cleared(one, now_s)}
+    return cleared | _keep_enough(before, suspects, domains)
 
 
 def _keep_enough(
--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -17,10 +17,6 @@
 #: Share of a request that an open flow stands for: callers of long flows send one each
 #: two seconds or so, which takes 22 ms.
 _FLOW_LOAD = 0.02
-#: Share of its usual new work that a run without any gets as trials. Without trials
-#: nobody would see that it is well again: with a dozen requests a second it gets one or
-#: two, which show it within two seconds, and a tenth of the harm is left if it is not.
-TRIAL_SHARE = 0.1
 
 
 def choose_service(targets: Sequence[Target], draw: Callable[[], float]) -> str:
@@ -139,7 +135,7 @@
         False always where it has all of its share.
     """
     weight = backend.usable_weight(now_s)
-    return weight < 1.0 and draw() >= max(weight, TRIAL_SHARE)
+    return weight < 1.0 and draw() >= weight
 
 
 def choose_backend(
--- a/src/agatethread/datapath/_weights.py
+++ b/src/agatethread/datapath/_weights.py
@@ -11,6 +11,9 @@
 #: served by a slow run than by too few.
 BELIEVED_S = 1.5
 
+#: Runs with no more than this get trials only.
+_TRIALS_PERCENT = 10
+
 log = make_logger("weights")
 
 
@@ -93,5 +96,5 @@
 
 
 def _stage(percent: int) -> int:
-    """Tell none, some and all of its share apart; a line for each step is too much."""
-    return (percent > 0) + (percent >= 100)
+    """Tell trials, some and all of its share apart; a line a step would be too much."""
+    return (percent > _TRIALS_PERCENT) + (percent >= 100)
--- a/src/agatethread/registry/_quality.py
+++ b/src/agatethread/registry/_quality.py
@@ -250,7 +250,7 @@
         return self._judged.get(label, UNJUDGED).quality
 
     def dump(self) -> list[dict[str, object]]:
-        """List the runs that are not held for good.
+        """List the runs that are not held for good, or were not a moment ago.
 
         Returns
         -------
