--- a/src/agatethread/balancing/_quality.py
+++ b/src/agatethread/balancing/_quality.py
@@ -22,9 +22,9 @@
     Quality,
 )
 
-#: Share of slow answers that callers bear from any server: with a tenth of them slow
-#: nine callers of ten are in time; a server that is taken away costs the others more.
-LEAST_SHARE = 0.1
+#: Share of slow answers that callers bear from any server: with a fifth of them slow
+#: four callers of five are in time, and taking its work away makes others wait.
+LEAST_SHARE = 0.2
 #: The better servers, by which the usual share is told: as many as are never ejected.
 _COMPARED_SHARE = 2 / 3
 #: The worse third is left out of it, so it comes out too low where all are alike.
@@ -41,9 +41,10 @@
 #: Share of a service's servers that may be without work at a time. Beyond it the others
 #: would be overloaded, and callers be no better off.
 EJECTED_SHARE = 1 / 3
-#: Share of its work that a doubtful server keeps: little enough to save most callers
-#: while it is not known what it is, enough to find out within a second.
-_DOUBTFUL_WEIGHT = 0.25
+#: Share of its work that a doubtful server keeps: enough to find out within a second
+#: what it is. Some good ones are in doubt at any time, and when most slots are in use
+#: the others have no room for more of their work.
+_DOUBTFUL_WEIGHT = 0.5
 #: Requests that were asked before a server came into doubt are counted for so long:
 #: until they have waited too long, and entry instances have said so.
 _SETTLING_S = 0.45
@@ -194,8 +195,8 @@
     """Decide how much work a run gets.
 
     The load that this answers: a server that turns slow within a moment and is well
-    again seconds later, among others that long requests hold up for a moment. Some five
-    slow answers bring it into doubt, which takes most of its work; what it does with
+    again seconds later, among others that long requests hold up for a moment. Some six
+    slow answers bring it into doubt, which takes half of its work; what it does with
     the rest clears it or ejects it. Ejected it gets a few trials, and comes back
     step by step.
 
