--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -110,6 +110,34 @@
     return load
 
 
+def is_spared(
+    backend: Backend, now_s: float, draw: Callable[[], float] = random.random
+) -> bool:
+    """Tell whether a run is left out of this opening, while another can take it.
+
+    The load that this answers: an instance has less than one request in progress at a
+    time, so a cost that is twice as high would take all work away from a run that is
+    to get half. Left out by chance it gets the share that was told, from any number of
+    instances.
+
+    Parameters
+    ----------
+    backend : Backend
+        The run.
+    now_s : float
+        Present time.
+    draw : callable, optional
+        Returns a number from 0 to 1.
+
+    Returns
+    -------
+    bool
+        False always where it has all of its share.
+    """
+    weight = backend.usable_weight(now_s)
+    return weight < 1.0 and draw() >= weight
+
+
 def choose_backend(
     backends: Iterable[Backend],
     failure_domain: str,
@@ -144,7 +172,7 @@
             continue
         cost = (
             backend in tried,
-            now_s < backend.penalty_until_s,
+            now_s < backend.penalty_until_s or is_spared(backend, now_s),
             _cost(backend, failure_domain, now_s, policies),
             random.random(),
         )
@@ -208,7 +236,7 @@
         factor = policies.cold_factor if now_s < backend.warm_s else 1.0
         cost = (
             backend in tried,
-            now_s < backend.penalty_until_s,
+            now_s < backend.penalty_until_s or is_spared(backend, now_s),
             factor * (count + 1) / backend.slots,
             random.random(),
         )
