--- a/src/agatethread/balancing/__init__.py
+++ b/src/agatethread/balancing/__init__.py
@@ -11,12 +11,14 @@
     latest_place_s,
 )
 from agatethread.balancing._dispatchers import choose_dispatchers, share_out
+from agatethread.balancing._fairness import CallerShares, rank_opening
 from agatethread.balancing._pressure import PressureGauge
 from agatethread.balancing._records import GroupLoad, Opening
 from agatethread.balancing._waiting import WaitingLine
 
 __all__ = [
     "PATIENCE_S",
+    "CallerShares",
     "GroupLoad",
     "Opening",
     "PressureGauge",
@@ -26,5 +28,6 @@
     "expected_wait_s",
     "judge_opening",
     "latest_place_s",
+    "rank_opening",
     "share_out",
 ]
--- a/src/agatethread/balancing/_records.py
+++ b/src/agatethread/balancing/_records.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from math import inf
 
+#: Rank from which on openings go behind those of all urgencies.
+BEHIND_ALL = 1_000
+
 
 @dataclass(frozen=True, slots=True)
 class Opening:
@@ -20,6 +23,8 @@
         Time after which an answer is of no use to it.
     caller : int, optional
         Tells callers apart, so that none takes another's room.
+    is_behind : bool, optional
+        Whether it goes behind those of all urgencies that are not.
     """
 
     urgency: int
@@ -27,6 +32,12 @@
     aim_s: float = inf
     timeout_s: float = inf
     caller: int = 0
+    is_behind: bool = False
+
+    @property
+    def rank(self) -> int:
+        """Its place among the urgencies; 0 goes first."""
+        return self.urgency + BEHIND_ALL if self.is_behind else self.urgency
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/agatethread/balancing/_waiting.py
+++ b/src/agatethread/balancing/_waiting.py
@@ -14,7 +14,7 @@
 from typing import Generic, TypeVar
 
 from agatethread.balancing._admission import latest_place_s
-from agatethread.balancing._records import Opening
+from agatethread.balancing._records import BEHIND_ALL, Opening
 
 T = TypeVar("T")
 
@@ -36,7 +36,7 @@
 
 @dataclass(slots=True)
 class _Class(Generic[T]):
-    """Those of one urgency; entries of heaps that are gone are skipped."""
+    """Those of one rank; entries of heaps that are gone are skipped."""
 
     waiting_count: int = 0
     #: By when they are due, and those that are late by when they asked.
@@ -107,7 +107,7 @@
         if waiter.latest_s < now_s:
             return False
         self._by_key[key] = waiter
-        urgent = self._classes.setdefault(opening.urgency, _Class())
+        urgent = self._classes.setdefault(opening.rank, _Class())
         urgent.waiting_count += 1
         due_s = opening.asked_s + opening.aim_s
         heappush(urgent.in_time, (due_s, next(self._order), waiter))
@@ -129,21 +129,23 @@
         self._pop_count += 1
         firsts = [
             waiter
-            for urgency in sorted(self._classes)
-            if (waiter := self._first_of(urgency, now_s)) is not None
+            for rank in sorted(self._classes)
+            if (waiter := self._first_of(rank, now_s)) is not None
         ]
         if not firsts:
             return None
         chosen = firsts[0]
-        if self._pop_count % _FLOOR_EACH == 0 and len(firsts) > 1:
-            chosen = min(firsts[1:], key=lambda one: one.opening.asked_s)
+        # The floor is for the less urgent, not for callers beyond their share.
+        later = [one for one in firsts[1:] if one.opening.rank < BEHIND_ALL]
+        if self._pop_count % _FLOOR_EACH == 0 and later:
+            chosen = min(later, key=lambda one: one.opening.asked_s)
         self._remove(chosen)
         return chosen.item
 
-    def _first_of(self, urgency: int, now_s: float) -> _Waiter[T] | None:
-        """Find who goes first of an urgency, without those that have given up."""
+    def _first_of(self, rank: int, now_s: float) -> _Waiter[T] | None:
+        """Find who goes first of a rank, without those that have given up."""
         while True:
-            waiter = self._classes[urgency].first(now_s, self._order)
+            waiter = self._classes[rank].first(now_s, self._order)
             if waiter is None or waiter.latest_s >= now_s:
                 return waiter
             # `take_expired` hands it out; here it only must not stand in the way.
@@ -152,7 +154,7 @@
     def _remove(self, waiter: _Waiter[T]) -> None:
         waiter.is_gone = True
         del self._by_key[waiter.key]
-        self._classes[waiter.opening.urgency].waiting_count -= 1
+        self._classes[waiter.opening.rank].waiting_count -= 1
 
     def discard(self, key: Hashable) -> bool:
         """Free the place in line of one that has left.
@@ -191,23 +193,21 @@
             self._remove(waiter)
         return [waiter.item for waiter in expired]
 
-    def count_ahead(self, urgency: int) -> int:
+    def count_ahead(self, rank: int) -> int:
         """Count those that go before one that comes now.
 
         Parameters
         ----------
-        urgency : int
-            Its urgency.
+        rank : int
+            Its rank: its urgency, or behind all.
 
         Returns
         -------
         int
-            All that are as urgent, or more.
+            All of this rank and before it.
         """
         return sum(
-            one.waiting_count
-            for other, one in self._classes.items()
-            if other <= urgency
+            one.waiting_count for other, one in self._classes.items() if other <= rank
         )
 
     def oldest_s(self) -> float:
--- a/src/agatethread/datapath/_dispatching.py
+++ b/src/agatethread/datapath/_dispatching.py
@@ -10,17 +10,20 @@
 some usual answers, and callers' copies find another way.
 """
 
+from collections import defaultdict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import inf
 
 from agatethread.balancing import (
+    CallerShares,
     GroupLoad,
     Opening,
     Verdict,
     WaitingLine,
     expected_wait_s,
     judge_opening,
+    rank_opening,
 )
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._elsewhere import OtherDomains
@@ -123,6 +126,8 @@
         self._counters = counters
         self._policies = policies
         self._lines: dict[str, WaitingLine[_Taken]] = {}
+        #: Of each service, so that no caller takes another's room there.
+        self._shares: defaultdict[str, CallerShares] = defaultdict(CallerShares)
         self._places = PlaceCounts(now_s)
         #: When each instance was told last how busy this is.
         self._told_s: dict[tuple[str, bytes], float] = {}
@@ -200,16 +205,25 @@
         placed.backend.fail(placed.since_s, now_s)
         return (*placed.tried, placed.backend)
 
+    def _rank(self, taken: _Taken) -> _Taken:
+        """Put it behind all others while its caller is over its share."""
+        shares, caller = self._shares[taken.service], taken.opening.caller
+        is_over = shares.is_over(caller, self._now_s())
+        waiting_count = len(self._line_of(taken.service))
+        ranked = rank_opening(taken.opening, is_over, waiting_count)
+        return replace(taken, opening=ranked)
+
     def _decide(self, taken: _Taken) -> None:
         now_s = self._now_s()
         line = self._line_of(taken.service)
+        taken = self._rank(taken)
         load = self._load_of(taken.service)
         outlet = self._others.find_least_busy(taken.service)
         may_leave = taken.may_leave and outlet is not None
         verdict = judge_opening(
             taken.opening,
             load,
-            line.count_ahead(taken.opening.urgency),
+            line.count_ahead(taken.opening.rank),
             now_s,
             may_leave,
             outlet.wait_s if outlet else inf,
@@ -219,14 +233,21 @@
         if verdict is Verdict.HAND_OVER and outlet is not None:
             self._hand_over(taken, outlet.address)
             return
-        waits = verdict is not Verdict.REFUSE and line.push(
-            taken.opening, taken.packet.key, taken, now_s
-        )
-        if waits:
-            self._counters["openings_waiting"] += 1
-        else:
+        if verdict is Verdict.REFUSE or not self._push(taken):
             self._refuse(taken)
 
+    def _push(self, taken: _Taken) -> bool:
+        line = self._line_of(taken.service)
+        if not line.push(taken.opening, taken.packet.key, taken, self._now_s()):
+            return False
+        if not taken.opening.is_behind:
+            self._counters["openings_waiting"] += 1
+            return True
+        self._counters["openings_behind"] += 1
+        flow = str(taken.packet.key)
+        log.info(Event.OPENING_BEHIND, flow=flow, service=taken.service)
+        return True
+
     def _place(self, taken: _Taken) -> bool:
         now_s = self._now_s()
         backend = choose_place(
@@ -240,6 +261,9 @@
             return False
         key = taken.packet.key
         self._places.take(key, backend, taken.service, taken.tried)
+        if not taken.tried:
+            # Whom a server did not answer has taken one place, not two.
+            self._shares[taken.service].note(taken.opening.caller, now_s)
         waited_s = now_s - taken.opening.asked_s
         self.waited_s.record(waited_s)
         self._counters[f"openings_dispatched_urgency_{taken.opening.urgency}"] += 1
@@ -313,7 +337,13 @@
         line = self._line_of(service)
         while line and self._load_of(service).free_count:
             found = line.pop(self._now_s())
-            if found is None or not self._place(found):
+            if found is None:
+                return
+            ranked = self._rank(found)
+            if ranked.opening.rank > found.opening.rank and self._push(ranked):
+                # Its caller took more than its share after this one began to wait.
+                continue
+            if not self._place(found):
                 return
 
     # -- time ---------------------------------------------------------------------
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -22,6 +22,7 @@
     PRESSURE_ENDS = "pressure ends: openings are placed here"
     OPENING_RELAYED = "opening relayed"
     OPENING_HANDED_OVER = "opening handed over to another failure domain"
+    OPENING_BEHIND = "opening behind all others: its caller took more than its share"
     OPENING_REFUSED = "opening refused: no room in time"
     DISPATCHER_SILENT = "dispatcher silent: it gets no openings"
 
@@ -134,6 +135,7 @@
         Event.OPENING_HANDED_OVER: frozenset(
             {"flow", "service", "dispatcher", "waited_s"}
         ),
+        Event.OPENING_BEHIND: frozenset({"flow", "service"}),
         Event.OPENING_REFUSED: frozenset(
             {
                 "flow",
--- a/tests/datapath/test_shared_placing.py
+++ b/tests/datapath/test_shared_placing.py
@@ -166,12 +166,14 @@
 
     # -- callers ------------------------------------------------------------------
 
-    def call(self, port, domain, tries=3, first_s=None):
+    def call(self, port, domain, tries=3, first_s=None, caller=None):
         """Let a caller ask through an instance of its failure domain."""
         near = [one for one, place in self.domain_of.items() if place == domain]
         self.caller_count += 1
         key = packet(self.caller_count % 60_000).key
-        key = key._replace(caller=self.caller_count // 60_000, port=port)
+        if caller is None:
+            caller = self.caller_count // 60_000
+        key = key._replace(caller=caller, port=port)
         one = opening(key=key)
         data = self.caller_count.to_bytes(8, "big")
         self.packets[data] = one = one._replace(data=data)
@@ -213,7 +215,8 @@
         caller["refused"] = True
         if caller["tries"] > 1:
             left, first_s = caller["tries"] - 1, caller["first_s"]
-            self.call(caller["port"], caller["domain"], left, first_s)
+            one, port = key.caller, caller["port"]
+            self.call(port, caller["domain"], left, first_s, one)
             caller["tries"] = 0
 
     # -- time ---------------------------------------------------------------------
