--- a/src/agatethread/operations/_queue.py
+++ b/src/agatethread/operations/_queue.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import math
-from collections import deque
+import random
 from collections.abc import Callable
 
+from agatethread.balancing import FairTurns, ReturnTimes, choose_retry_after_s
 from agatethread.operations._records import RefusedError
 from agatethread.routing import Endpoint, choose_for_request
 from agatethread.settings import ServiceDocument
@@ -18,11 +19,20 @@
 _SERVICE_MARGIN = 2.5
 #: A backend server is blamed for a timeout of so many usual service times.
 _BLAME_FACTOR = 5.0
+#: Pause between two looks at what can't be served any more, and more of it for each
+#: that waits, so that a long line is not looked through for most of the time.
+_LOOK_PAUSE_S = 0.05
+_LOOK_EACH_S = 0.000_1
 
 
 class ServiceQueue:
     """Slots of one service, given out in turn to its partners.
 
+    The load that this answers: more requests than slots, most of them one partner's, or
+    due at very different times. Within a partner's line what is due first goes first;
+    what can't be served in time any more is refused at once, with a time to come back
+    at which there is room for it.
+
     Parameters
     ----------
     document : callable
@@ -31,6 +41,8 @@
         Returns the service's backend servers.
     now_s : callable
         Monotonic clock.
+    draw : callable, optional
+        Random numbers from 0 to 1.
     """
 
     def __init__(
@@ -38,15 +50,25 @@
         document: Callable[[], ServiceDocument],
         endpoints: Callable[[], list[Endpoint]],
         now_s: Callable[[], float],
+        draw: Callable[[], float] = random.random,
     ):
         self._document = document
         self._endpoints = endpoints
         self._now_s = now_s
-        self._by_partner: dict[str, deque[asyncio.Future[Endpoint]]] = {}
-        self.waiting = 0
+        self._draw = draw
+        self._turns: FairTurns[asyncio.Future[Endpoint]] = FairTurns()
+        self._returns = ReturnTimes()
+        self._look_at_s = -math.inf
+        #: Slots when there were any last, for the return after an outage.
+        self._usual_slot_count = 1
         self._service_time_s = _FIRST_SERVICE_TIME_S
         self._retry_tokens = _MOST_RETRY_TOKENS
 
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._turns)
+
     async def acquire(
         self, partner: str, deadline_at_s: float, avoid: Endpoint | None
     ) -> Endpoint:
@@ -76,7 +98,7 @@
             if endpoint is not None:
                 return endpoint
 
-        self._check_admissible(deadline_at_s)
+        self._check_admissible(partner, deadline_at_s)
         return await self._wait(partner, deadline_at_s)
 
     def _take_slot(self, avoid: Endpoint | None) -> Endpoint | None:
@@ -89,9 +111,11 @@
         return endpoint
 
     def _slot_count(self) -> int:
-        return sum(
+        count = sum(
             endpoint.slots for endpoint in self._endpoints() if endpoint.takes_new_work
         )
+        self._usual_slot_count = count or self._usual_slot_count
+        return count
 
     def expected_wait_s(self) -> float:
         """Estimate how long a request that comes now would wait for its slot.
@@ -101,10 +125,13 @@
         float
             Seconds; infinity when there is no slot at all.
         """
+        return self._wait_behind_s(self.waiting)
+
+    def _wait_behind_s(self, ahead_count: int) -> float:
         slots = self._slot_count()
         if not slots:
             return math.inf
-        return (self.waiting + 1) * self._service_time_s / slots
+        return (ahead_count + 1) * self._service_time_s / slots
 
     @property
     def _time_to_serve_s(self) -> float:
@@ -112,39 +139,50 @@
         # and what misses its deadline has used its slot for nothing.
         return _SERVICE_MARGIN * self._service_time_s
 
-    def _check_admissible(self, deadline_at_s: float) -> None:
-        wait_s = self.expected_wait_s()
+    def _check_admissible(self, partner: str, deadline_at_s: float) -> None:
+        wait_s = self._wait_behind_s(self._turns.count_ahead(partner, deadline_at_s))
         if wait_s == math.inf:
-            raise RefusedError(Reason.NO_ENDPOINT, _NO_ENDPOINT_RETRY_S)
-        if self.waiting >= self._document().queue_limit_count:
-            raise RefusedError(Reason.OVERLOADED, wait_s)
+            raise self._refusal(Reason.NO_ENDPOINT)
 
         done_at_s = self._now_s() + _WAIT_MARGIN * wait_s + self._time_to_serve_s
         if done_at_s > deadline_at_s:
-            raise RefusedError(Reason.DEADLINE, wait_s)
+            raise self._refusal(Reason.DEADLINE)
+        if self.waiting >= self._document().queue_limit_count:
+            self._make_room(partner)
+
+    def _make_room(self, partner: str) -> None:
+        """Refuse the last of whoever fills the queue, or else the one that comes."""
+        displaced = self._turns.take_last_of_longest(partner)
+        if displaced is None:
+            raise self._refusal(Reason.OVERLOADED)
+        self._refuse(displaced, Reason.OVERLOADED)
+
+    def _refusal(self, reason: int) -> RefusedError:
+        """Make a refusal that names the time at which there is room."""
+        wait_s = self.expected_wait_s()
+        if wait_s == math.inf:
+            wait_s = _NO_ENDPOINT_RETRY_S
+        turn_s = self._service_time_s / self._usual_slot_count
+        booked_s = self._returns.book(wait_s, turn_s, self._now_s())
+        urgency = self._document().urgency
+        retry_after_s = choose_retry_after_s(booked_s, urgency, self._draw())
+        return RefusedError(reason, retry_after_s)
+
+    def _refuse(self, granted: asyncio.Future[Endpoint], reason: int) -> None:
+        if not granted.done():
+            granted.set_exception(self._refusal(reason))
 
     async def _wait(self, partner: str, deadline_at_s: float) -> Endpoint:
         granted: asyncio.Future[Endpoint] = asyncio.get_running_loop().create_future()
-        self._by_partner.setdefault(partner, deque()).append(granted)
-        self.waiting += 1
+        self._turns.push(partner, granted, deadline_at_s)
         latest_start_s = deadline_at_s - self._time_to_serve_s
         try:
             return await asyncio.wait_for(granted, latest_start_s - self._now_s())
         except TimeoutError:
-            raise RefusedError(Reason.DEADLINE, self._retry_after_s()) from None
+            self._turns.discard(granted)
+            raise self._refusal(Reason.DEADLINE) from None
         finally:
-            self._leave(partner, granted)
-
-    def _leave(self, partner: str, granted: asyncio.Future[Endpoint]) -> None:
-        if granted.done() and not granted.cancelled():
-            return
-        line = self._by_partner.get(partner)
-        if line is not None and granted in line:
-            line.remove(granted)
-            self.waiting -= 1
-
-    def _retry_after_s(self) -> float:
-        return min(self.expected_wait_s(), _NO_ENDPOINT_RETRY_S)
+            self._turns.discard(granted)
 
     def release(self, endpoint: Endpoint, service_time_s: float | None) -> None:
         """Give a slot back.
@@ -163,29 +201,35 @@
         self.pump()
 
     def pump(self) -> None:
-        """Give free slots to those who wait, one partner after the other."""
+        """Give free slots to those who wait, and refuse those who wait in vain."""
         while self.waiting:
             endpoint = self._take_slot(None)
             if endpoint is None:
-                return
+                break
             if not self._grant_next(endpoint):
                 endpoint.in_flight -= 1
-                return
+                break
+        self._refuse_hopeless()
 
     def _grant_next(self, endpoint: Endpoint) -> bool:
-        for partner in list(self._by_partner):
-            line = self._by_partner.pop(partner)
-            while line:
-                granted = line.popleft()
-                self.waiting -= 1
-                if granted.done():
-                    continue
-                if line:
-                    self._by_partner[partner] = line
+        while (granted := self._turns.pop()) is not None:
+            if not granted.done():
                 granted.set_result(endpoint)
                 return True
         return False
 
+    def _refuse_hopeless(self) -> None:
+        now_s, slots = self._now_s(), self._slot_count()
+        if not self.waiting or not slots or now_s < self._look_at_s:
+            return
+        self._look_at_s = now_s + _LOOK_PAUSE_S + _LOOK_EACH_S * self.waiting
+        # A wait turns out shorter about as often as longer: the margin of admission is
+        # given here the other way.
+        turn_s = self._service_time_s / slots / _WAIT_MARGIN
+        first_s = now_s + turn_s + self._time_to_serve_s
+        for granted in self._turns.take_hopeless(first_s, turn_s):
+            self._refuse(granted, Reason.DEADLINE)
+
     def is_patient(self, waited_s: float) -> bool:
         """Tell whether an attempt that timed out had ample time.
 
@@ -209,12 +253,9 @@
         reason : int
             A `Reason`.
         """
-        for line in self._by_partner.values():
-            for granted in line:
-                if not granted.done():
-                    granted.set_exception(RefusedError(reason, 0.0))
-        self._by_partner.clear()
-        self.waiting = 0
+        for granted in self._turns.take_all():
+            if not granted.done():
+                granted.set_exception(RefusedError(reason, 0.0))
 
     def earn_retry(self) -> None:
         """Add one request's share to the retry budget."""
