--- a/src/agatethread/cli/_ctl.py
+++ b/src/agatethread/cli/_ctl.py
@@ -6,7 +6,6 @@
 import json
 import sys
 from collections.abc import Awaitable, Callable
-from datetime import datetime
 from pathlib import Path
 from typing import Any
 
@@ -27,7 +26,8 @@
     EXIT_USAGE,
     print_result,
 )
-from agatethread.cli._story import LogLine, explain, read_logs
+from agatethread.cli._story import explain, read_logs
+from agatethread.cli._story_text import describe_story
 from agatethread.exceptions import (
     AgatethreadError,
     DocumentError,
@@ -154,8 +154,7 @@
         "unreadable_lines": logs.unreadable_count,
         "left_out_lines": logs.left_out_count,
     }
-    text = [_describe(line, line is story.deciding) for line in story.lines]
-    print_result(options, data, "\n".join([*text, story.cause]))
+    print_result(options, data, describe_story(story))
     return EXIT_DONE if story.lines else EXIT_REFUSED
 
 
@@ -166,30 +165,6 @@
     return EXIT_DONE
 
 
-#: Fields of every line, and those that a line of text shows by itself.
-_SHOWN_FIELDS = {
-    "time",
-    "steady_s",
-    "level",
-    "instance",
-    "failure_domain",
-    "part",
-    "message",
-}
-
-
-def _describe(line: LogLine, is_deciding: bool) -> str:
-    moment = datetime.fromtimestamp(line.time_s).time().isoformat("milliseconds")
-    fields = " ".join(
-        f"{name}={value}"
-        for name, value in line.fields.items()
-        if name not in _SHOWN_FIELDS
-    )
-    mark = ">" if is_deciding else " "
-    step = f" (its clock was {line.step_s:+.1f} s off)" if line.step_s else ""
-    return f"{mark} {moment} {line.instance}: {line.event} {fields}{step}"
-
-
 def _add_command(
     commands, name: str, handler: Handler, summary: str, example: str
 ) -> argparse.ArgumentParser:
--- a/tests/cli/test_story.py
+++ b/tests/cli/test_story.py
@@ -4,7 +4,8 @@
 from pathlib import Path
 
 from agatethread.cli import run_ctl
-from agatethread.cli._story import explain, read_logs
+from agatethread.cli._story import Story, explain, read_logs
+from agatethread.cli._story_text import describe_story, group_lines
 from agatethread.observability import Event
 from tests.cli.test_commands import CommandCase, run
 
@@ -163,6 +164,64 @@
         self.assertEqual((len(logs.lines), logs.unreadable_count), (1, 4))
 
 
+class TestGroups(unittest.TestCase):
+    """A hundred instances that say the same of one run are one line of text."""
+
+    def say(self, *lines, name="i-1"):
+        return describe_story(tell(*lines, name=name)).splitlines()[:-1]
+
+    def silent(self, at_s, nth, ago_s=1.0, **fields):
+        values = {"run": "i-1", "failures": 3, "last_answer_ago_s": ago_s}
+        return line(at_s, Event.BACKEND_AVOIDED, f"edge-{nth}", **(values | fields))
+
+    def test_equal_lines_become_one(self):
+        """They get a count, and the first and the last instance."""
+        lines = [self.silent(2 + nth / 1_000, nth, 1 + nth / 2_000) for nth in range(9)]
+        first = line(1.0, Event.RUN_SILENT, "edge-7", run="i-1")
+        text = self.say(first, *lines)
+        self.assertEqual(len(text), 2)
+        self.assertIn("edge-0 to edge-8 (9 instances within 0.008 s)", text[1])
+
+    def test_deciding_line_stands_alone(self):
+        """The line that decided is marked, and the others of its kind are one."""
+        text = self.say(*[self.silent(2 + nth / 1_000, nth) for nth in range(100)])
+        self.assertEqual([one[0] for one in text], [">", " "])
+        self.assertIn(" edge-0: ", text[0])
+        self.assertIn("edge-1 to edge-99 (99 instances", text[1])
+        lines = [self.silent(2 + nth / 1_000, nth) for nth in range(9)]
+        held = read_logs([lines]).lines
+        (others, own) = group_lines(Story(held, held[4], ""))
+        self.assertEqual((own.lines, own.is_deciding), ([held[4]], True))
+        self.assertEqual((len(others.lines), others.is_deciding), (8, False))
+
+    def test_line_that_differs_stays_to_be_seen(self):
+        """Another value, duration, time, or an instance's second line is one more."""
+        base = [
+            line(0.5, Event.RUN_SILENT, "edge-9", run="i-1"),
+            *(self.silent(2 + nth / 1_000, nth) for nth in range(9)),
+        ]
+        others = {
+            "value": self.silent(2.1, 10, failures=4),
+            "duration": self.silent(2.1, 10, 1.2),
+            "later": self.silent(3.5, 10),
+            "again": self.silent(2.1, 4),
+            "none": self.silent(2.1, 10),
+        }
+        for name, other in others.items():
+            with self.subTest(name):
+                self.assertEqual(len(self.say(*base, other)), 2 + (name != "none"))
+
+    def test_every_line_is_in_one_group(self):
+        """Nothing is left out, and groups stand in the order of their first lines."""
+        lines = [self.silent(nth / 7, nth % 5, nth % 3) for nth in range(60)]
+        story = tell(*lines, name="i-1")
+        groups = group_lines(story)
+        held = [one for group in groups for one in group.lines]
+        self.assertCountEqual(map(id, held), map(id, story.lines))
+        firsts = [group.lines[0].time_s for group in groups]
+        self.assertEqual(firsts, sorted(firsts))
+
+
 class TestCommand(CommandCase):
     def test_explain_prints_the_deciding_line_and_the_cause(self):
         """The command reads several files and marks what decided."""
