--- a/scripts/settings_page.py
+++ b/scripts/settings_page.py
@@ -1,6 +1,8 @@
 """Write the settings reference from the checked data classes."""
 
 import dataclasses
+import inspect
+import re
 import sys
 from typing import get_type_hints
 
@@ -8,6 +10,7 @@
     ControlSettings,
     EntrySettings,
     LoggingSettings,
+    Parts,
     Policies,
     Settings,
     TlsSettings,
@@ -21,12 +24,20 @@
     "tls": TlsSettings,
     "logging": LoggingSettings,
     "policies": Policies,
+    "parts": Parts,
 }
+#: A field's line in the source of its class, and in the docstring's attributes.
+_FIELD = re.compile(r"    (\w+): ")
+_ATTRIBUTE = re.compile(r"    (\w+) : ")
 _NOTES = {
     "policies": [
         "In a file of their own, on the users' platform only: `AGATETHREAD_POLICIES`",
-        "names it, and it is read at the start. `agatethreadctl policies` prints them;",
-        "what each guards against stands in `settings/_policies.py`.",
+        "names it, and it is read at the start. `agatethreadctl policies` prints them.",
+        "",
+    ],
+    "parts": [
+        "On the users' platform only, with no file of their own: each is on where the",
+        "platform's settings file names what calls for it.",
         "",
     ],
 }
@@ -58,6 +69,25 @@
     )
 
 
+def _purposes(data_class: type) -> dict[str, str]:
+    """Find what each field is for: its comment, or its entry in the docstring."""
+    found: dict[str, str] = {}
+    comment: list[str] = []
+    attribute = ""
+    for line in inspect.getsource(data_class).splitlines():
+        if line.startswith("    #:"):
+            comment.append(line.removeprefix("    #:").strip())
+        elif match := _FIELD.match(line):
+            if comment:
+                found[match[1]] = " ".join(comment)
+            comment, attribute = [], ""
+        elif match := _ATTRIBUTE.match(line):
+            attribute = match[1]
+        elif attribute and line.startswith("        "):
+            found[attribute] = f"{found.get(attribute, '')} {line.strip()}".strip()
+    return found
+
+
 def make_page() -> str:
     """Make the page.
 
@@ -70,12 +100,15 @@
     for part, data_class in _PARTS.items():
         lines += [f"## {part or 'the process'}", ""]
         lines += _NOTES.get(part, [])
-        lines += ["| Field | Type | Default | Allowed |", "| --- | --- | --- | --- |"]
+        lines += ["| Field | Type | Default | Allowed | What it is for |"]
+        lines += ["| --- | --- | --- | --- | --- |"]
+        purposes = _purposes(data_class)
         hints = get_type_hints(data_class)
         for field in dataclasses.fields(data_class):
             kind = _type_name(hints[field.name]).replace("|", "or")
-            row = f"| `{field.name}` | {kind} | {_default(field)} | {_rule(field)} |"
-            lines.append(row)
+            purpose = purposes.get(field.name, "").replace("|", "or")
+            cells = [f"`{field.name}`", kind, _default(field), _rule(field), purpose]
+            lines.append(f"| {' | '.join(cells)} |")
         lines.append("")
     return "\n".join(lines)
 
