--- a/src/agatethread/balancing/_fairness.py
+++ b/src/agatethread/balancing/_fairness.py
@@ -82,7 +82,7 @@
         return len(self._current.rows) + len(self._before.rows)
 
     def note(self, caller: int, now_s: float) -> None:
-        """Count an opening that was given a place.
+        """Count an opening that was taken on: given a place, or a turn among others.
 
         Parameters
         ----------
@@ -95,7 +95,7 @@
         self._current.note(caller, self._before, self._limit_count)
 
     def count(self, caller: int, now_s: float) -> int:
-        """Count the openings of a caller that were given a place lately.
+        """Count the openings of a caller that were taken on lately.
 
         Parameters
         ----------
--- a/src/agatethread/datapath/_dispatching.py
+++ b/src/agatethread/datapath/_dispatching.py
@@ -213,6 +213,12 @@
         ranked = rank_opening(taken.opening, is_over, waiting_count)
         return replace(taken, opening=ranked)
 
+    def _note_share(self, taken: _Taken) -> None:
+        """Count it as taken on; whom a server did not answer has taken one place."""
+        if not taken.tried:
+            shares = self._shares[taken.service]
+            shares.note(taken.opening.caller, self._now_s())
+
     def _decide(self, taken: _Taken) -> None:
         now_s = self._now_s()
         line = self._line_of(taken.service)
@@ -229,6 +235,7 @@
             outlet.wait_s if outlet else inf,
         )
         if verdict is Verdict.PLACE and self._place(taken):
+            self._note_share(taken)
             return
         if verdict is Verdict.HAND_OVER and outlet is not None:
             self._hand_over(taken, outlet.address)
@@ -241,6 +248,8 @@
         if not line.push(taken.opening, taken.packet.key, taken, self._now_s()):
             return False
         if not taken.opening.is_behind:
+            # Noted already here, else a burst would be before all who come after it.
+            self._note_share(taken)
             self._counters["openings_waiting"] += 1
             return True
         self._counters["openings_behind"] += 1
@@ -261,9 +270,6 @@
             return False
         key = taken.packet.key
         self._places.take(key, backend, taken.service, taken.tried)
-        if not taken.tried:
-            # Whom a server did not answer has taken one place, not two.
-            self._shares[taken.service].note(taken.opening.caller, now_s)
         waited_s = now_s - taken.opening.asked_s
         self.waited_s.record(waited_s)
         self._counters[f"openings_dispatched_urgency_{taken.opening.urgency}"] += 1
@@ -337,14 +343,10 @@
         line = self._line_of(service)
         while line and self._load_of(service).free_count:
             found = line.pop(self._now_s())
-            if found is None:
-                return
-            ranked = self._rank(found)
-            if ranked.opening.rank > found.opening.rank and self._push(ranked):
-                # Its caller took more than its share after this one began to wait.
-                continue
-            if not self._place(found):
+            if found is None or not self._place(found):
                 return
+            if found.opening.is_behind:
+                self._note_share(found)
 
     # -- time ---------------------------------------------------------------------
 
--- a/tests/datapath/test_fair_placing.py
+++ b/tests/datapath/test_fair_placing.py
@@ -53,8 +53,8 @@
         world = self.play(URGENT)
         self.assertGreater(world.served_of(self.ORDINARY), 0.98)
 
-    def test_burst_that_waits_already_makes_room(self):
-        """Six hundred at once are put behind when their turn comes, not only later."""
+    def test_burst_is_not_before_those_who_come_after_it(self):
+        """Six hundred at once wait behind the others, also those that come later."""
         world = FairWorld(entries=24, seed=3)
         for caller in self.ORDINARY:
             world.come(caller, 18, 3.0)
