--- a/src/agatethread/operations/_queue.py
+++ b/src/agatethread/operations/_queue.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from agatethread.balancing import FairTurns, ReturnTimes, choose_retry_after_s
 from agatethread.operations._records import RefusedError
@@ -25,6 +26,14 @@
 _LOOK_EACH_S = 0.000_1
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class _Waiter:
+    """A request that waits for its slot."""
+
+    partner: str
+    granted: asyncio.Future[Endpoint]
+
+
 class ServiceQueue:
     """Slots of one service, given out in turn to its partners.
 
@@ -56,7 +65,7 @@
         self._endpoints = endpoints
         self._now_s = now_s
         self._draw = draw
-        self._turns: FairTurns[asyncio.Future[Endpoint]] = FairTurns()
+        self._turns: FairTurns[_Waiter] = FairTurns()
         self._returns = ReturnTimes()
         self._look_at_s = -math.inf
         #: Slots when there were any last, for the return after an outage.
@@ -142,11 +151,11 @@
     def _check_admissible(self, partner: str, deadline_at_s: float) -> None:
         wait_s = self._wait_behind_s(self._turns.count_ahead(partner, deadline_at_s))
         if wait_s == math.inf:
-            raise self._refusal(Reason.NO_ENDPOINT)
+            raise self._refusal(Reason.NO_ENDPOINT, partner)
 
         done_at_s = self._now_s() + _WAIT_MARGIN * wait_s + self._time_to_serve_s
         if done_at_s > deadline_at_s:
-            raise self._refusal(Reason.DEADLINE)
+            raise self._refusal(Reason.DEADLINE, partner)
         if self.waiting >= self._document().queue_limit_count:
             self._make_room(partner)
 
@@ -154,35 +163,36 @@
         """Refuse the last of whoever fills the queue, or else the one that comes."""
         displaced = self._turns.take_last_of_longest(partner)
         if displaced is None:
-            raise self._refusal(Reason.OVERLOADED)
+            raise self._refusal(Reason.OVERLOADED, partner)
         self._refuse(displaced, Reason.OVERLOADED)
 
-    def _refusal(self, reason: int) -> RefusedError:
+    def _refusal(self, reason: int, partner: str) -> RefusedError:
         """Make a refusal that names the time at which there is room."""
-        wait_s = self.expected_wait_s()
+        wait_s = self._wait_behind_s(self._turns.count_ahead(partner, math.inf))
         if wait_s == math.inf:
             wait_s = _NO_ENDPOINT_RETRY_S
         turn_s = self._service_time_s / self._usual_slot_count
-        booked_s = self._returns.book(wait_s, turn_s, self._now_s())
+        booked_s = self._returns.book(partner, wait_s, turn_s, self._now_s())
         urgency = self._document().urgency
         retry_after_s = choose_retry_after_s(booked_s, urgency, self._draw())
         return RefusedError(reason, retry_after_s)
 
-    def _refuse(self, granted: asyncio.Future[Endpoint], reason: int) -> None:
-        if not granted.done():
-            granted.set_exception(self._refusal(reason))
+    def _refuse(self, waiter: _Waiter, reason: int) -> None:
+        if not waiter.granted.done():
+            waiter.granted.set_exception(self._refusal(reason, waiter.partner))
 
     async def _wait(self, partner: str, deadline_at_s: float) -> Endpoint:
         granted: asyncio.Future[Endpoint] = asyncio.get_running_loop().create_future()
-        self._turns.push(partner, granted, deadline_at_s)
+        waiter = _Waiter(partner, granted)
+        self._turns.push(partner, waiter, deadline_at_s)
         latest_start_s = deadline_at_s - self._time_to_serve_s
         try:
             return await asyncio.wait_for(granted, latest_start_s - self._now_s())
         except TimeoutError:
-            self._turns.discard(granted)
-            raise self._refusal(Reason.DEADLINE) from None
+            self._turns.discard(waiter)
+            raise self._refusal(Reason.DEADLINE, partner) from None
         finally:
-            self._turns.discard(granted)
+            self._turns.discard(waiter)
 
     def release(self, endpoint: Endpoint, service_time_s: float | None) -> None:
         """Give a slot back.
@@ -212,9 +222,9 @@
         self._refuse_hopeless()
 
     def _grant_next(self, endpoint: Endpoint) -> bool:
-        while (granted := self._turns.pop()) is not None:
-            if not granted.done():
-                granted.set_result(endpoint)
+        while (waiter := self._turns.pop()) is not None:
+            if not waiter.granted.done():
+                waiter.granted.set_result(endpoint)
                 return True
         return False
 
@@ -227,8 +237,8 @@
         # given here the other way.
         turn_s = self._service_time_s / slots / _WAIT_MARGIN
         first_s = now_s + turn_s + self._time_to_serve_s
-        for granted in self._turns.take_hopeless(first_s, turn_s):
-            self._refuse(granted, Reason.DEADLINE)
+        for waiter in self._turns.take_hopeless(first_s, turn_s):
+            self._refuse(waiter, Reason.DEADLINE)
 
     def is_patient(self, waited_s: float) -> bool:
         """Tell whether an attempt that timed out had ample time.
@@ -253,9 +263,9 @@
         reason : int
             A `Reason`.
         """
-        for granted in self._turns.take_all():
-            if not granted.done():
-                granted.set_exception(RefusedError(reason, 0.0))
+        for waiter in self._turns.take_all():
+            if not waiter.granted.done():
+                waiter.granted.set_exception(RefusedError(reason, 0.0))
 
     def earn_retry(self) -> None:
         """Add one request's share to the retry budget."""
--- a/tests/balancing/test_return.py
+++ b/tests/balancing/test_return.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from collections import Counter
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -39,7 +40,7 @@
         returns, last_s, now_s = ReturnTimes(), 0.0, 0.0
         for pause_s, wait_s in refusals:
             now_s += pause_s
-            told_s = returns.book(wait_s, 0.02, now_s)
+            told_s = returns.book("p", wait_s, 0.02, now_s)
             self.assertGreaterEqual(told_s, wait_s)
             self.assertLessEqual(told_s, 30.0)
             if told_s < 29.9 and last_s:
@@ -52,7 +53,7 @@
             returns, draw = ReturnTimes(), random.Random(1)
             at_s = sorted(
                 choose_retry_after_s(
-                    returns.book(0.5, 0.005, 0.0), urgency, draw.random()
+                    returns.book("p", 0.5, 0.005, 0.0), urgency, draw.random()
                 )
                 for _ in range(1_000)
             )
@@ -60,3 +61,48 @@
             for begin_s in (0.5, 1.5, 2.5, 3.5):
                 come = sum(begin_s <= one < begin_s + 1 for one in at_s)
                 self.assertAlmostEqual(come, 200, delta=20)
+
+    def test_owner_of_thousands_does_not_put_off_another(self):
+        """Another owner's first few come in turn with the many, not after them."""
+        returns = ReturnTimes()
+        for _ in range(2_000):
+            returns.book("big", 0.5, 0.005, 0.0)
+        told_s = [returns.book("small", 0.5, 0.005, 0.0) for _ in range(3)]
+        self.assertLess(max(told_s), 0.5 + 3 * 2 * 0.005 + 1e-9)
+
+    @given(
+        st.lists(st.tuples(st.sampled_from("abc"), st.floats(0, 0.5)), min_size=1),
+        st.sampled_from((0.1, 0.4, 2.0)),
+    )
+    def test_nobody_is_told_a_time_after_all_turns(self, refusals, turn_s):
+        """With owners taking turns no time is beyond that of one line for all."""
+        returns, line, now_s = ReturnTimes(), ReturnTimes(), 0.0
+        for owner, pause_s in refusals:
+            now_s += pause_s
+            told_s = returns.book(owner, 0.5, turn_s, now_s)
+            self.assertLessEqual(told_s, line.book("", 0.5, turn_s, now_s) + 1e-9)
+            self.assertGreaterEqual(told_s, 0.5)
+            self.assertLessEqual(len(returns), 3)
+
+    def test_owners_are_forgotten(self):
+        """Names that are never used again are not kept for longer than their times."""
+        returns = ReturnTimes()
+        for nth in range(1_000):
+            returns.book(f"name-{nth}", 0.0, 0.001, nth / 10)
+        self.assertLess(len(returns), 3)
+
+    def test_many_owners_together_come_little_faster(self):
+        """In no second do more than 1.5 times as many come as can be served."""
+        draw = random.Random(1)
+        orders = {
+            "mixed": [draw.randrange(50) for _ in range(1_000)],
+            "one after the other": [nth // 20 for nth in range(1_000)],
+            "many first": [0] * 500 + [draw.randrange(50) for _ in range(500)],
+        }
+        for name, owners in orders.items():
+            returns = ReturnTimes()
+            at_s = [returns.book(str(one), 0.0, 0.005, 0.0) for one in owners]
+            come = Counter(int(one) for one in at_s)
+            with self.subTest(name):
+                self.assertLessEqual(max(come.values()), 1.5 * 200)
+                self.assertLessEqual(max(at_s), 1_000 * 0.005 + 1e-9)
--- a/tests/operations/test_queue.py
+++ b/tests/operations/test_queue.py
@@ -159,6 +159,23 @@
 
         self.assertFalse(run(main))
 
+    def test_refusals_of_one_do_not_put_off_another(self):
+        """Many refused of one partner, and another's first comes back among them."""
+
+        async def main():
+            queue = make_queue(slots=0)
+            soon = asyncio.get_running_loop().time() + 60
+            told_s = []
+            for partner in ["big"] * 400 + ["small"]:
+                with self.assertRaises(RefusedError) as caught:
+                    await queue.acquire(partner, soon, None)
+                told_s.append(caught.exception.retry_after_s)
+            return told_s
+
+        *big, small = run(main)
+        self.assertGreater(max(big), 8.5)
+        self.assertLess(small, 1.1)
+
     def test_first_due_goes_first_within_a_partner(self):
         """The order of a partner's requests is that of their deadlines."""
 
