--- a/src/agatethread/datapath/_dispatching.py
+++ b/src/agatethread/datapath/_dispatching.py
@@ -11,15 +11,18 @@
 some usual answers, and callers' copies find another way.
 """
 
+from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
 from agatethread.balancing import (
+    CallerShares,
     GroupLoad,
     Opening,
     Verdict,
     WaitingLine,
     judge_opening,
+    rank_opening,
 )
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._groups import ServerGroups
@@ -87,6 +90,8 @@
         self._counters = counters
         self._policies = policies
         self._lines: dict[str, WaitingLine[Taken]] = {}
+        #: Of each service, so that no caller takes another's room there.
+        self._shares: defaultdict[str, CallerShares] = defaultdict(CallerShares)
         self._places = PlaceCounts(now_s)
         self._teller = LoadTeller(self._load_of, hands.send, now_s)
         #: How long callers of openings that were placed here had waited.
@@ -182,9 +187,24 @@
         placed.backend.fail(placed.since_s, now_s)
         return (*placed.tried, placed.backend)
 
+    def _rank(self, taken: Taken) -> Taken:
+        """Put it behind all others while its caller is over its share."""
+        shares, caller = self._shares[taken.service], taken.opening.caller
+        is_over = shares.is_over(caller, self._now_s())
+        waiting_count = len(self._line_of(taken.service))
+        ranked = rank_opening(taken.opening, is_over, waiting_count)
+        return replace(taken, opening=ranked)
+
+    def _note_share(self, taken: Taken) -> None:
+        """Count it as taken on; whom a server did not answer has taken one place."""
+        if not taken.tried:
+            shares = self._shares[taken.service]
+            shares.note(taken.opening.caller, self._now_s())
+
     def _decide(self, taken: Taken) -> None:
         now_s = self._now_s()
         line = self._line_of(taken.service)
+        taken = self._rank(taken)
         placing = frozenset(self._groups.count_slots(taken.service))
         outlet = self._others.find(taken.relayed, placing)
         # A run that let it come again is no place for it, while there are others.
@@ -192,11 +212,12 @@
         verdict = judge_opening(
             taken.opening,
             load,
-            line.count_ahead(taken.opening.urgency),
+            line.count_ahead(taken.opening.rank),
             now_s,
             outlet.elsewhere if outlet else None,
         )
         if verdict is Verdict.PLACE and self._place(taken):
+            self._note_share(taken)
             return
         if not load.place_count and outlet is None and self._place(taken):
             # Nobody is known who answers, so a server that seems not to is tried.
@@ -204,14 +225,23 @@
         if verdict is Verdict.HAND_OVER and outlet is not None:
             self._hand_over(taken, outlet.address)
             return
-        waits = verdict is not Verdict.REFUSE and line.push(
-            taken.opening, taken.packet.key, taken, now_s
-        )
-        if waits:
-            self._counters["openings_waiting"] += 1
-        else:
+        if verdict is Verdict.REFUSE or not self._push(taken):
             self._refuse(taken)
 
+    def _push(self, taken: Taken) -> bool:
+        line = self._line_of(taken.service)
+        if not line.push(taken.opening, taken.packet.key, taken, self._now_s()):
+            return False
+        if not taken.opening.is_behind:
+            # Noted already here, else a burst would be before all who come after it.
+            self._note_share(taken)
+            self._counters["openings_waiting"] += 1
+            return True
+        self._counters["openings_behind"] += 1
+        flow = str(taken.packet.key)
+        log.info(Event.OPENING_BEHIND, flow=flow, service=taken.service)
+        return True
+
     def _place(self, taken: Taken) -> bool:
         now_s = self._now_s()
         backend = choose_place(
@@ -308,6 +338,8 @@
             found = line.pop(self._now_s())
             if found is None or not self._place(found):
                 return
+            if found.opening.is_behind:
+                self._note_share(found)
 
     # -- time ---------------------------------------------------------------------
 
