--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -117,12 +117,11 @@
         return changed
 
     def _judge_writer(self, report: Report, verdict: Verdict) -> Verdict:
-        """Refuse what counts otherwise, if it can't be a backend server's of ours."""
+        """Refuse what can't be a backend server's of ours, also of a known run."""
         starts = verdict is Verdict.STARTS
         # Before any table is known, every service may be one.
         if starts and self.services and report.service not in self.services:
             return Verdict.UNKNOWN_SERVICE
-        # Also a known run's: another writer's report may have come before all others.
         if report.started_ms == START_NOT_TOLD and self._entries.most_tell_starts():
             return Verdict.START_MISSING
         return verdict
@@ -263,6 +262,7 @@
         if not end_is_of(entry.run, ended.started_ms):
             self._log_end_not_taken(entry.run, ended.started_ms)
             return False
+        entry.run.draining |= ended.draining
         self._end(entry, reason)
         return True
 
--- a/tests/registry/test_restarts.py
+++ b/tests/registry/test_restarts.py
@@ -93,6 +93,15 @@
         self.assertTrue(self.table.find("i-1").silent)
         self.assertEqual(self.known(), (2_000, 1, False, False))
 
+    def test_end_told_by_another_instance_brings_what_was_said_before(self):
+        """A run that drained before it ended is known as drained everywhere."""
+        other = RunTable(INTERVAL_S, self.clock)
+        self.table.report(report(sequence=1, started_ms=1_000))
+        other.report(report(sequence=2, started_ms=1_000, draining=True))
+        other.leave("i-1")
+        self.assertTrue(self.table.take(other.snapshot()[0]))
+        self.assertEqual(self.known(), (1_000, 1, True, True))
+
     def test_starts_survive_a_restart_of_control(self):
         """Which start is the newest is among the hints on disk."""
         self.table.report(report(sequence=1, started_ms=2_000))
