--- a/src/agatethread/datapath/_dispatching.py
+++ b/src/agatethread/datapath/_dispatching.py
@@ -30,7 +30,7 @@
 from agatethread.datapath._packets import FlowKey, Packet, pack_flow
 from agatethread.datapath._places import PlaceCounts
 from agatethread.datapath._placing import choose_place
-from agatethread.datapath._taken import Hands, Taken
+from agatethread.datapath._taken import Hands, Taken, hand_on
 from agatethread.datapath._telling import LOAD_PAUSE_S, SIGN_PAUSE_S, LoadTeller
 from agatethread.observability import Counters, Event, Histogram, make_logger
 from agatethread.routing import Route
@@ -140,12 +140,22 @@
         sender : bytes
             Packed address of the instance that relayed it.
         """
-        was_handed_over = bool(relayed.origin)
-        pause_s = LOAD_PAUSE_S if was_handed_over else SIGN_PAUSE_S
         if not self._is_same_packet(packet):
             self._take(packet, route, relayed, sender)
-        if was_handed_over or self._places.find(packet.key) is None:
-            self._teller.tell(relayed.service, sender, pause_s)
+        if sender != self._own_address:
+            self._answer(packet, relayed, sender)
+
+    def _answer(self, packet: Packet, relayed: RelayedOpening, sender: bytes) -> None:
+        """Tell the sender how busy this is, where it would act on that.
+
+        One of the own failure domain takes silence for room.
+        """
+        is_placed = self._places.find(packet.key) is not None
+        has_just_crossed = relayed.crossed and not relayed.hops
+        if has_just_crossed or (relayed.origin and not is_placed):
+            self._teller.tell(relayed.service, sender, LOAD_PAUSE_S)
+        elif not is_placed:
+            self._teller.tell(relayed.service, sender, SIGN_PAUSE_S)
 
     def _is_same_packet(self, packet: Packet) -> bool:
         """Tell whether this only repeats what has been placed just now."""
@@ -291,15 +301,8 @@
             waited_s=round(waited_s, 3),
             crosses=crosses,
         )
-        relayed = RelayedOpening(
-            packet=taken.packet.data,
-            service=taken.service,
-            table_version=self._hands.table_version(),
-            hops=0 if crosses else taken.relayed.hops + 1,
-            waited_ms=round(1000 * max(0.0, waited_s)),
-            origin=taken.origin,
-            crossed=crosses or taken.relayed.crossed,
-        )
+        version = self._hands.table_version()
+        relayed = hand_on(taken, crosses, waited_s, version)
         self._hands.send(RegistryMessage(relayed=relayed), address)
 
     # -- ends ---------------------------------------------------------------------
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -9,14 +9,12 @@
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._cold import ColdLimits
 from agatethread.datapath._forwarder import LabelForwarder
+from agatethread.datapath._joining import make_shared_placing
 from agatethread.datapath._judging import REPORT_INTERVAL_S, AnswerReports
 from agatethread.datapath._leaving import Departure
 from agatethread.datapath._pacing import PacedSender
 from agatethread.datapath._packets import PacketCodec
-from agatethread.datapath._placing import may_take_work
 from agatethread.datapath._readiness import Readiness
-from agatethread.datapath._shared_placing import SharedPlacing
-from agatethread.datapath._taken import Hands
 from agatethread.observability import Counters, Event, Measures, make_logger
 from agatethread.registry import (
     KnownEvacuations,
@@ -192,7 +190,18 @@
             KnownEvacuations(self.view.take_evacuations),
         )
         if settings.parts.relays_openings:
-            self.forwarder.shared_placing = self._make_shared_placing(codec)
+            self.forwarder.shared_placing = make_shared_placing(
+                pack_address(parse_address(settings.registry)),
+                settings.failure_domain,
+                codec,
+                self.forwarder,
+                self.view,
+                self._cold,
+                self._transport.send,
+                now_s,
+                counters,
+                policies,
+            )
         self.answers = self._make_answers() if settings.parts.judges_answers else None
         self.subscription.presence = PRESENCE_AWAY
         self._heard_control_s = 0.0
@@ -209,28 +218,6 @@
             self.counters,
         )
 
-    def _make_shared_placing(self, codec: PacketCodec) -> SharedPlacing:
-        now_s, forwarder = self.timers.now_s, self.forwarder
-        hands = Hands(
-            forward=forwarder.forward_opening,
-            send=self._transport.send,
-            table_version=lambda: forwarder.table.version,
-        )
-        return SharedPlacing(
-            pack_address(parse_address(self._settings.registry)),
-            self._settings.failure_domain,
-            self.view.of_service,
-            lambda one: may_take_work(one) and not self._cold.spares(one, now_s()),
-            codec.decode,
-            lambda: forwarder.table,
-            hands,
-            forwarder.place_here,
-            forwarder.refuse,
-            now_s,
-            self.counters,
-            self._settings.policies,
-        )
-
     async def on_start(self) -> None:
         """Start to read and to ask."""
         self._transport.start(self._on_message)
--- /dev/null
+++ b/src/agatethread/datapath/_joining.py
@@ -0,0 +1,77 @@
+"""Puts shared placing together with the rest of an entry instance."""
+
+from collections.abc import Callable
+
+from agatethread.datapath._backends import BackendView
+from agatethread.datapath._cold import ColdLimits
+from agatethread.datapath._forwarder import LabelForwarder
+from agatethread.datapath._packets import PacketCodec
+from agatethread.datapath._placing import may_take_work
+from agatethread.datapath._shared_placing import SharedPlacing
+from agatethread.datapath._taken import Hands
+from agatethread.observability import Counters
+from agatethread.settings import Policies
+from agatethread.wire.registry_pb2 import RegistryMessage
+
+
+def make_shared_placing(
+    own_address: bytes,
+    failure_domain: str,
+    codec: PacketCodec,
+    forwarder: LabelForwarder,
+    view: BackendView,
+    cold: ColdLimits,
+    send: Callable[[RegistryMessage, bytes], None],
+    now_s: Callable[[], float],
+    counters: Counters,
+    policies: Policies,
+) -> SharedPlacing:
+    """Make what a forwarder places openings with under pressure.
+
+    Parameters
+    ----------
+    own_address : bytes
+        Packed registry address of this instance.
+    failure_domain : str
+        Of this instance.
+    codec : PacketCodec
+        The packets' wire format.
+    forwarder : LabelForwarder
+        Forwards the openings that are placed.
+    view : BackendView
+        Known backend servers.
+    cold : ColdLimits
+        Which of them are cold; these get nothing this way.
+    send : callable
+        Sends a registry message to a packed address.
+    now_s : callable
+        Monotonic clock.
+    counters : Counters
+        Counts decisions.
+    policies : Policies
+        How servers are chosen.
+
+    Returns
+    -------
+    SharedPlacing
+        Not yet told of any dispatcher.
+    """
+    hands = Hands(
+        forward=forwarder.forward_opening,
+        send=send,
+        table_version=lambda: forwarder.table.version,
+    )
+    return SharedPlacing(
+        own_address,
+        failure_domain,
+        view.of_service,
+        lambda one: may_take_work(one) and not cold.spares(one, now_s()),
+        codec.decode,
+        lambda: forwarder.table,
+        hands,
+        forwarder.place_here,
+        forwarder.refuse,
+        now_s,
+        counters,
+        policies,
+    )
--- a/src/agatethread/datapath/_relaying.py
+++ b/src/agatethread/datapath/_relaying.py
@@ -1,10 +1,11 @@
 """Openings that another entry instance places, as the one that relayed them sees them.
 
 The load that this answers: callers who compete for too little room before many entry
-instances. Under pressure an instance relays an opening to a dispatcher of its failure
-domain; the answer and all later packets of the flow do without it. The caller's next
-packet shows that it was placed, and the end of its request is told back. A dispatcher
-that dies costs the openings on their way one copy each: that goes to another one.
+instances. Under pressure an instance places openings as the dispatcher of some backend
+servers, or relays them to another dispatcher of its failure domain; the answer and all
+later packets of the flow do without it. The caller's next packet shows that it was
+placed, and the end of its request is told back. A dispatcher that dies costs the
+openings on their way one copy each: that goes to another one.
 """
 
 import random
@@ -61,6 +62,8 @@
 
     Parameters
     ----------
+    own_address : bytes
+        Packed registry address of this instance.
     groups : ServerGroups
         The dispatchers and their servers.
     runs_of : callable
@@ -75,12 +78,14 @@
 
     def __init__(
         self,
+        own_address: bytes,
         groups: ServerGroups,
         runs_of: Callable[[str], Sequence[Backend]],
         send: Callable[[RegistryMessage, bytes], None],
         now_s: Callable[[], float],
         counters: Counters,
     ):
+        self._own_address = own_address
         self._groups = groups
         self._runs_of = runs_of
         self._send = send
@@ -164,6 +169,8 @@
 
     def _is_lost(self, packet: Packet, known: _Relayed, now_s: float) -> bool:
         """Decide whether a dispatcher has lost an opening whose copy has come."""
+        if known.dispatcher == self._own_address:
+            return False
         if self._alive_s.get(known.dispatcher, 0.0) >= known.last_s:
             return False
         if known.last_s < self._awake_since_s:
@@ -186,12 +193,16 @@
         )
 
     def _draw(self, service: str, now_s: float, lost: bytes = b"") -> bytes | None:
-        """Draw a dispatcher by the slots that it can give out.
+        """Choose this instance itself, else draw a dispatcher by its slots.
 
-        One that is distrusted is left out while most others are not: theirs bear its
-        share until control instances name another one. Else openings are placed here.
+        What an instance places on servers of its own takes no message, and most of a
+        crowd does: only what finds no place there goes over the link. A dispatcher that
+        is distrusted is left out while most others are not: theirs bear its share until
+        control instances name another one. Else openings are placed by own counts.
         """
         slots = self._groups.count_slots(service)
+        if self._own_address in slots:
+            return self._own_address
         trusted = {
             dispatcher: count
             for dispatcher, count in slots.items()
@@ -209,6 +220,20 @@
         self, packet: Packet, known: _Relayed, table_version: int
     ) -> None:
         waited_s = self._now_s() - known.first_s
+        opening = RelayedOpening(
+            packet=packet.data,
+            service=known.service,
+            table_version=table_version,
+            waited_ms=round(1000 * waited_s),
+        )
+        if known.dispatcher != self._own_address:
+            self._log_relayed(packet, known, waited_s, table_version)
+        self._send(RegistryMessage(relayed=opening), known.dispatcher)
+
+    def _log_relayed(
+        self, packet: Packet, known: _Relayed, waited_s: float, table_version: int
+    ) -> None:
+        self._counters["openings_relayed"] += 1
         log.info(
             Event.OPENING_RELAYED,
             flow=str(packet.key),
@@ -218,14 +243,6 @@
             waited_s=round(waited_s, 3),
             table_version=table_version,
         )
-        self._counters["openings_relayed"] += 1
-        opening = RelayedOpening(
-            packet=packet.data,
-            service=known.service,
-            table_version=table_version,
-            waited_ms=round(1000 * waited_s),
-        )
-        self._send(RegistryMessage(relayed=opening), known.dispatcher)
 
     # -- pressure -----------------------------------------------------------------
 
--- a/src/agatethread/datapath/_shared_placing.py
+++ b/src/agatethread/datapath/_shared_placing.py
@@ -103,7 +103,9 @@
             counters,
             policies,
         )
-        self._relay = OpeningRelay(self._groups, runs_of, self._send, now_s, counters)
+        self._relay = OpeningRelay(
+            own_address, self._groups, runs_of, self._send, now_s, counters
+        )
 
     def _send(self, message: RegistryMessage, address: bytes) -> None:
         """Send a message; one to this instance itself needs no network."""
--- a/src/agatethread/datapath/_taken.py
+++ b/src/agatethread/datapath/_taken.py
@@ -48,3 +48,35 @@
     def origin(self) -> bytes:
         """Packed address of the instance that its caller's packets reach."""
         return self.relayed.origin or self.sender
+
+
+def hand_on(
+    taken: Taken, crosses: bool, waited_s: float, table_version: int
+) -> RelayedOpening:
+    """Write an opening for another dispatcher.
+
+    Parameters
+    ----------
+    taken : Taken
+        The opening.
+    crosses : bool
+        Whether that one is in another failure domain.
+    waited_s : float
+        How long its caller has waited.
+    table_version : int
+        Of the routing table in force.
+
+    Returns
+    -------
+    RelayedOpening
+        The message.
+    """
+    return RelayedOpening(
+        packet=taken.packet.data,
+        service=taken.service,
+        table_version=table_version,
+        hops=0 if crosses else taken.relayed.hops + 1,
+        waited_ms=round(1000 * max(0.0, waited_s)),
+        origin=taken.origin,
+        crossed=crosses or taken.relayed.crossed,
+    )
