--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -185,8 +185,9 @@
     """Count the openings and requests that a run may have in progress at once.
 
     The load that this answers: every slot is in use, and who is urgent must not queue
-    behind others at a server. While an opening and its answer travel a slot would idle,
-    so there is one on its way for each slot, and one more.
+    behind others at a server. A short request travels as long as it is worked on, to
+    the server and as the word of its end; for a slot not to idle meanwhile there are
+    three for each, and two more since they come and go at random.
 
     Parameters
     ----------
@@ -198,7 +199,7 @@
     int
         More than its slots, and less than it takes in before it sheds.
     """
-    return 2 * backend.slots + 1
+    return 3 * backend.slots + 2
 
 
 def choose_place(
