--- a/src/agatethread/balancing/__init__.py
+++ b/src/agatethread/balancing/__init__.py
@@ -10,7 +10,11 @@
     judge_opening,
     latest_place_s,
 )
-from agatethread.balancing._dispatchers import choose_dispatchers, share_out
+from agatethread.balancing._dispatchers import (
+    choose_dispatchers,
+    choose_for_service,
+    share_out,
+)
 from agatethread.balancing._pressure import PressureGauge
 from agatethread.balancing._records import GroupLoad, Opening
 from agatethread.balancing._waiting import WaitingLine
@@ -23,6 +27,7 @@
     "Verdict",
     "WaitingLine",
     "choose_dispatchers",
+    "choose_for_service",
     "expected_wait_s",
     "judge_opening",
     "latest_place_s",
--- a/src/agatethread/balancing/_dispatchers.py
+++ b/src/agatethread/balancing/_dispatchers.py
@@ -47,6 +47,34 @@
     return tuple(ranked[:count])
 
 
+def choose_for_service(
+    dispatchers: Sequence[bytes], service: str, slot_count: int
+) -> tuple[bytes, ...]:
+    """Choose which dispatchers of a failure domain place a service's openings.
+
+    The load that this answers: a failure domain has as many dispatchers as all its
+    services need. Shared out among all of them, one service's servers would be too few
+    for each to even out.
+
+    Parameters
+    ----------
+    dispatchers : sequence of bytes
+        Packed addresses of those of the failure domain, in any order.
+    service : str
+        The service.
+    slot_count : int
+        Slots of its backend servers in the failure domain.
+
+    Returns
+    -------
+    tuple of bytes
+        One at least, where there is any.
+    """
+    number = xxh64_intdigest(service.encode())
+    ranked = sorted(dispatchers, key=lambda one: (_weight(one, number), one))
+    return tuple(ranked[: max(1, ceil(slot_count / _SLOTS_EACH))])
+
+
 def share_out(
     numbers: Sequence[int], dispatchers: Sequence[bytes]
 ) -> dict[bytes, tuple[int, ...]]:
--- a/src/agatethread/datapath/_groups.py
+++ b/src/agatethread/datapath/_groups.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from agatethread.balancing import share_out
+from agatethread.balancing import choose_for_service, share_out
 from agatethread.datapath._backend import Backend
 from agatethread.wire.registry_pb2 import Dispatchers
 
@@ -92,7 +92,9 @@
             for backend in self._runs_of(service)
             if backend.failure_domain == self._failure_domain
         }
-        shares = share_out(sorted(near), self.dispatchers)
+        slot_count = sum(backend.slots for backend in near.values())
+        chosen = choose_for_service(self.dispatchers, service, slot_count)
+        shares = share_out(sorted(near), chosen)
         groups = {
             dispatcher: tuple(near[number] for number in numbers)
             for dispatcher, numbers in shares.items()
--- a/tests/balancing/test_dispatchers.py
+++ b/tests/balancing/test_dispatchers.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from agatethread.balancing import choose_dispatchers, share_out
+from agatethread.balancing import choose_dispatchers, choose_for_service, share_out
 from tests.fakes import address
 
 ENTRIES = st.sets(st.integers(1, 300), max_size=60)
@@ -43,6 +43,26 @@
         self.assertLessEqual(set(chosen), set(packed(entries)))
 
 
+class TestChooseForService(unittest.TestCase):
+    @given(DISPATCHERS, st.text(max_size=9), st.integers(0, 200), st.randoms())
+    def test_one_for_twelve_slots(self, dispatchers, service, slots, draw):
+        """A service has one of 12 slots, alike in any order; more slots only add."""
+        names = packed(dispatchers)
+        chosen = choose_for_service(names, service, slots)
+        count = min(len(names), max(1, -(-slots // 12)))
+        self.assertEqual(len(set(chosen)), count)
+        draw.shuffle(names)
+        self.assertEqual(choose_for_service(names, service, slots), chosen)
+        more = choose_for_service(names, service, slots + 12)
+        self.assertLessEqual(set(chosen), set(more))
+
+    def test_services_spread(self):
+        """Small services do not all choose the same dispatcher."""
+        names = packed(range(1, 8))
+        chosen = {choose_for_service(names, f"s-{n}", 4) for n in range(40)}
+        self.assertGreater(len(chosen), 4)
+
+
 class TestShareOut(unittest.TestCase):
     @given(SERVERS, DISPATCHERS, st.randoms())
     def test_even_whole_and_alike(self, servers, dispatchers, draw):
--- a/tests/datapath/test_groups.py
+++ b/tests/datapath/test_groups.py
@@ -28,6 +28,13 @@
         self.assertEqual(sorted(held), list(range(1, 9)))
         self.assertEqual(sum(self.groups.count_slots("tab").values()), 16)
 
+    def test_small_service_is_not_split_up(self):
+        """Of eight dispatchers two place on 16 slots: few servers don't even out."""
+        self.told.addresses.extend(address(number) for number in range(3, 9))
+        self.groups.take(self.told)
+        shares = self.groups.of_service("tab")
+        self.assertEqual([len(some) for some in shares.values()], [4, 4])
+
     def test_draining_server_counts_no_more_at_once(self):
         """One that drains or is evacuated is usable no more, without waiting."""
         self.groups.of_service("tab")
