--- a/src/agatethread/datapath/_dispatching.py
+++ b/src/agatethread/datapath/_dispatching.py
@@ -131,7 +131,7 @@
         self._policies = policies
         self._lines: dict[str, WaitingLine[_Taken]] = {}
         self._places = PlaceCounts(now_s)
-        self._teller = LoadTeller(self._load_of, hands.send, now_s)
+        self.teller = LoadTeller(self._load_of, hands.send, now_s)
         #: How long callers of openings that were placed here had waited.
         self.waited_s = Histogram()
 
@@ -182,7 +182,7 @@
         if not self._is_same_packet(packet):
             self._take(packet, route, relayed, sender)
         if relayed.hops or packet.key in self._line_of(relayed.service):
-            self._teller.tell(relayed.service, sender, pause_s)
+            self.teller.tell(relayed.service, sender, pause_s)
 
     def _is_same_packet(self, packet: Packet) -> bool:
         """Tell whether this only repeats what has been placed just now."""
@@ -358,8 +358,8 @@
                 self._give_back(line)
         for placed in self._places.list_aged(SIGN_PAUSE_S, 2 * SIGN_PAUSE_S):
             # Else it would seem that this instance is gone where a server is.
-            self._teller.tell(placed.service, placed.sender, SIGN_PAUSE_S)
-        self._teller.tick()
+            self.teller.tell(placed.service, placed.sender, SIGN_PAUSE_S)
+        self.teller.tick()
 
     def _give_back(self, line: "WaitingLine[_Taken]") -> None:
         """Let senders place those that wait for servers that are gone from here."""
@@ -394,4 +394,4 @@
     def sweep(self) -> None:
         """Forget what is over; to be called about once a second."""
         self._others.sweep()
-        self._teller.sweep()
+        self.teller.sweep()
--- a/src/agatethread/datapath/_shared_placing.py
+++ b/src/agatethread/datapath/_shared_placing.py
@@ -12,6 +12,7 @@
 from agatethread.datapath._groups import ServerGroups
 from agatethread.datapath._packets import FlowKey, Packet, unpack_flow
 from agatethread.datapath._relaying import OpeningRelay
+from agatethread.datapath._telling import LOAD_PAUSE_S
 from agatethread.exceptions import DatagramError
 from agatethread.observability import Counters
 from agatethread.routing import Route, RouteTable
@@ -188,6 +189,9 @@
         route = self._find_route(packet, relayed)
         if route is None or not self.dispatcher.places_for(relayed.service):
             # Only under the same table both read the route alike.
+            if relayed.hops:
+                # Else the sender, who knows no load of this one, would ask it again.
+                self.dispatcher.teller.tell(relayed.service, source, LOAD_PAUSE_S)
             returned = ReturnedOpening(opening=relayed)
             self._send(RegistryMessage(returned=returned), source)
             return
--- a/tests/datapath/test_shared_placing.py
+++ b/tests/datapath/test_shared_placing.py
@@ -116,6 +116,12 @@
         with mock.patch.object(world, "tell") as tell:
             forwarder.shared_placing.on_message(message, address(1_001))
         self.assertEqual(tell.call_args.args[1].WhichOneof("body"), "returned")
+        message.relayed.hops = 1
+        with mock.patch.object(world, "tell") as tell:
+            forwarder.shared_placing.on_message(message, address(1_001))
+        load = tell.call_args_list[0].args[1].load
+        self.assertEqual((load.service, load.free), ("archive", 0))
+        self.assertGreater(load.wait_ms, 10_000)
 
     def test_servers_gone_without_a_word_cost_one_copy(self):
         """A third of the servers dies in a crowd that the others can bear."""
