--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -358,7 +358,7 @@
         Measures
             Read when somebody asks for metrics.
         """
-        loads = self.forwarder.loads
+        loads, shared = self.forwarder.loads, self.forwarder.shared_placing
         return Measures(
             self.counters,
             {
@@ -369,8 +369,10 @@
                 "routes_version": lambda: float(self.forwarder.table.version),
                 "controls_in_sight": lambda: float(len(self.subscription.live())),
                 "control_silent_s": lambda: self.timers.now_s() - self._heard_control_s,
-            },
-            {"opening_s": loads.opening_s, "answer_s": loads.answer_s},
+            }
+            | (shared.gauges() if shared else {}),
+            {"opening_s": loads.opening_s, "answer_s": loads.answer_s}
+            | (shared.histograms() if shared else {}),
         )
 
     def dump(self) -> dict[str, Any]:
--- a/src/agatethread/datapath/_shared_placing.py
+++ b/src/agatethread/datapath/_shared_placing.py
@@ -16,7 +16,7 @@
 from agatethread.datapath._relaying import OpeningRelay
 from agatethread.datapath._taken import Hands
 from agatethread.exceptions import DatagramError
-from agatethread.observability import Counters
+from agatethread.observability import Counters, Histogram
 from agatethread.routing import Route, RouteTable
 from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire.registry_pb2 import (
@@ -279,3 +279,29 @@
         """Forget what is over; to be called about once a second."""
         self._relay.sweep()
         self.dispatcher.sweep()
+
+    # -- measures -----------------------------------------------------------------
+
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        """Name what is measured of openings under pressure.
+
+        Returns
+        -------
+        dict of str to callable
+            Read when somebody asks for metrics.
+        """
+        return {
+            "openings_in_line": lambda: float(self.dispatcher.waiting_count()),
+            "openings_relayed_open": lambda: float(len(self._relay)),
+            "dispatchers_at_home": lambda: float(len(self._groups.dispatchers)),
+        }
+
+    def histograms(self) -> dict[str, Histogram]:
+        """Name the times that are measured.
+
+        Returns
+        -------
+        dict of str to Histogram
+            How long callers of dispatched openings had waited.
+        """
+        return {"opening_waited_s": self.dispatcher.waited_s}
--- a/tests/datapath/test_shared_placing.py
+++ b/tests/datapath/test_shared_placing.py
@@ -33,6 +33,19 @@
         self.assertGreater(world.served(OTHER), 0.4)
         self.assertLess(world.served(OTHER), world.served(URGENT))
 
+    def test_measures_show_the_crowd(self):
+        """Operators see who waits, and how long callers of placed openings had."""
+        world = World(entries=24)
+        world.crowd(1_180, 2.0)
+        world.run(1.5)
+        shared = [one.shared_placing for one in world.entries.values()]
+        in_line = sum(one.gauges()["openings_in_line"]() for one in shared)
+        waits = [one.histograms()["opening_waited_s"] for one in shared]
+        placed = sum(sum(one.counts) for one in waits)
+        self.assertGreater(in_line, 0)
+        self.assertGreater(placed, 500)
+        self.assertEqual(shared[0].gauges()["dispatchers_at_home"](), 8)
+
     def test_calm_is_left_alone(self):
         """With a tenth of the slots in use no opening is relayed."""
         world = self.play(90, entries=24)
