--- a/src/agatethread/cli/_story.py
+++ b/src/agatethread/cli/_story.py
@@ -18,6 +18,8 @@
 _BEFORE_S = 5.0
 #: ... and until so long after its last line: a silent one is noticed by then.
 _AFTER_S = 10.0
+#: An opening that was refused sooner had not waited in line.
+_AT_ONCE_S = 0.05
 #: Difference from the process's other lines beyond which its time of day was stepped.
 _STEP_S = 0.5
 #: Events that tell that a run did not answer, or ended.
@@ -297,9 +299,30 @@
         if not domains:
             return reset, cause
         return order, f"{cause}; evacuated: {', '.join(domains)}"
+    refusals = [line for line in all_lines if _refuses(line, reset)]
+    if why == "no_room" and refusals:
+        return refusals[-1], _cause_of_refusal(refusals[-1])
     return reset, f"reset: {why}"
 
 
+def _refuses(line: LogLine, reset: LogLine) -> bool:
+    is_refusal = line.event == Event.OPENING_REFUSED
+    return is_refusal and line.fields.get("flow") == reset.fields.get("flow")
+
+
+def _cause_of_refusal(refusal: LogLine) -> str:
+    fields = refusal.fields
+    waited_s = fields.get("waited_s", 0.0)
+    kind = (
+        "refused at once" if waited_s < _AT_ONCE_S else f"waited {waited_s} s in vain"
+    )
+    return (
+        f"{kind}: {fields.get('waiting')} openings wait for {fields.get('places')} "
+        f"places that are kept for {fields.get('place_time_s')} s each, "
+        f"urgency {fields.get('urgency')}"
+    )
+
+
 def _cause_of_drop(drop: LogLine, all_lines: Sequence[LogLine]) -> tuple[LogLine, str]:
     why = drop.fields.get("why")
     started = _last_before(all_lines, drop, Event.STARTED)
--- a/tests/cli/test_story.py
+++ b/tests/cli/test_story.py
@@ -46,6 +46,28 @@
         self.assertEqual(story.deciding.instance, "core-1")
         self.assertIn("i-1 had ended (it said so)", story.cause)
 
+    def test_refused_under_pressure(self):
+        """The dispatcher's line says what it waited for, or that it was at once."""
+        for waited_s, cause in (
+            (0.0, "refused at once: 32"),
+            (1.302, "waited 1.302 s"),
+        ):
+            refusal = line(
+                1.0,
+                Event.OPENING_REFUSED,
+                "edge-2",
+                flow=FLOW,
+                waited_s=waited_s,
+                waiting=32,
+                places=8,
+                place_time_s=0.068,
+                urgency=2,
+            )
+            story = tell(refusal, reset(1.1, "no_room"))
+            with self.subTest(waited_s=waited_s):
+                self.assertEqual(story.deciding.instance, "edge-2")
+                self.assertIn(cause, story.cause)
+
     def test_run_is_found_by_its_label(self):
         """A reset by an instance that never placed the flow still names the run."""
         story = tell(
