--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -123,7 +123,7 @@
             now_s,
         )
         self._evacuations = EvacuationPublisher(
-            self.hub.entries_in_sight, self._transport.send, now_s
+            self.hub.in_sight, self._transport.send, now_s
         )
         self.subscription = Subscription(
             settings.failure_domain,
@@ -135,7 +135,9 @@
             self._on_run,
             lambda _: None,
             self.counters,
+            self._evacuations,
         )
+        self._evacuations.on_known = self.subscription.poll
         self.subscription.on_number = self._on_number
         self.hub.list_hubs = self.subscription.live
 
--- a/src/agatethread/registry/_evacuations.py
+++ b/src/agatethread/registry/_evacuations.py
@@ -16,17 +16,24 @@
 #: between failure domains, and short beside the seconds in which it must be in force.
 _RESEND_S = 0.15
 
-#: Lists entry instances in sight by packed address.
+#: Lists instances in sight by packed address.
 ListSubscribers = Callable[[], Iterable[tuple[bytes, Subscriber]]]
 
 
+def _tell_nobody() -> None:
+    """Tell no other control instance."""
+
+
 class EvacuationPublisher:
     """Sends entry instances the newest evacuations until they have acknowledged them.
 
+    Entry instances may follow control instances of their own failure domain only; for
+    these, other control instances say up to which version all theirs have them.
+
     Parameters
     ----------
     subscribers : callable
-        Lists the entry instances in sight, with their addresses.
+        Lists the entry and control instances in sight, with their addresses.
     send : callable
         Sends a message to a packed address.
     now_s : callable
@@ -44,6 +51,10 @@
         self._now_s = now_s
         self._waiting = IndexWaiters()
         self.newest = Evacuations()
+        #: What all entry instances in sight have.
+        self.known_version = 0
+        #: Called when that has grown, so that others can be told at once.
+        self.on_known: Callable[[], None] = _tell_nobody
 
     def offer(self, evacuations: Evacuations) -> bool:
         """Publish what the log holds, unless that is known already.
@@ -71,8 +82,12 @@
             return
         now_s = self._now_s()
         message = RegistryMessage(evacuations=self.newest)
-        known = []
+        known, elsewhere = [], []
         for address, subscriber in self._subscribers():
+            if subscriber.is_control:
+                if subscriber.takes_numbers:
+                    elsewhere.append(subscriber.evacuations_version)
+                continue
             known.append(subscriber.evacuations_version)
             if subscriber.evacuations_version >= self.newest.version:
                 continue
@@ -81,7 +96,12 @@
                 subscriber.evacuations_sent_version = self.newest.version
                 subscriber.evacuations_sent_s = now_s
                 self._send(message, address)
-        self._waiting.settle(min(known, default=self.newest.version))
+        known_version = min(known, default=self.newest.version)
+        has_grown = known_version > self.known_version
+        self.known_version = known_version
+        if has_grown:
+            self.on_known()
+        self._waiting.settle(min([known_version, *elsewhere]))
 
     async def wait_until_known(self, version: int, limit_s: float) -> bool:
         """Wait until every entry instance in sight has a version.
@@ -120,6 +140,11 @@
         self._on_change = on_change
         self.version = 0
 
+    @property
+    def known_version(self) -> int:
+        """What this process says that it has."""
+        return self.version
+
     def take(self, evacuations: Evacuations) -> None:
         """Take what a control instance publishes, unless something newer is known.
 
--- a/src/agatethread/registry/_following.py
+++ b/src/agatethread/registry/_following.py
@@ -19,7 +19,9 @@
 FOLLOWED_COUNT = 3
 
 
-def choose_followed(live: Sequence[HubLink], failure_domain: str) -> list[HubLink]:
+def choose_followed(
+    live: Sequence[HubLink], failure_domain: str, others_count: int = FOLLOWED_COUNT - 1
+) -> list[HubLink]:
     """Choose the control instances to follow.
 
     Parameters
@@ -28,6 +30,8 @@
         Those that answered lately.
     failure_domain : str
         Of the entry instance.
+    others_count : int, optional
+        How many to follow besides the first.
 
     Returns
     -------
@@ -50,16 +54,18 @@
         others or ranked[1:],
         key=lambda link: (not link.hears_leader, bool(heard) and link.address in heard),
     )
-    return first + others[: FOLLOWED_COUNT - 1]
+    return first + others[:others_count]
 
 
-def is_enough(followed: Sequence[HubLink]) -> bool:
+def is_enough(followed: Sequence[HubLink], count: int = FOLLOWED_COUNT) -> bool:
     """Tell whether no other control instance has to be looked for.
 
     Parameters
     ----------
     followed : sequence of HubLink
         Those that are followed.
+    count : int, optional
+        How many are to be.
 
     Returns
     -------
@@ -67,7 +73,7 @@
         False also without a leader in sight: another one may hear one.
     """
     has_leader = any(link.hears_leader for link in followed)
-    return has_leader and len(followed) >= FOLLOWED_COUNT
+    return has_leader and len(followed) >= count
 
 
 def choose_routes_teller(
@@ -132,7 +138,8 @@
 def are_silent(links: Iterable[HubLink], failure_domain: str, now_s: float) -> bool:
     """Tell whether no control instance of another failure domain answers.
 
-    One that was not asked lately says nothing, and is not cut off by that.
+    One that was not asked lately says nothing, and is not cut off by that; and the one
+    that was asked last may be gone by itself. When a second one is asked, several are.
 
     Parameters
     ----------
@@ -146,13 +153,11 @@
     Returns
     -------
     bool
-        Whether each of them was asked in vain for many round trips.
+        Whether two of them, or the only one, were asked in vain for many round trips.
     """
-    return all(
-        now_s - link.unanswered_s >= _SILENT_S
-        for link in links
-        if link.failure_domain not in ("", failure_domain)
-    )
+    others = [link for link in links if link.failure_domain not in ("", failure_domain)]
+    silent = [link for link in others if now_s - link.unanswered_s >= _SILENT_S]
+    return len(silent) >= min(2, len(others))
 
 
 def widest_rank(live: Iterable[HubLink], failure_domain: str = "") -> EntryRank:
--- a/src/agatethread/registry/_home.py
+++ b/src/agatethread/registry/_home.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from agatethread.observability import Event, make_logger
+from agatethread.registry._following import FOLLOWED_COUNT
 from agatethread.registry._link import HubLink
 
 #: Control instances at home that are enough: the loss of one is borne without a gap.
@@ -23,8 +24,8 @@
 #: How long those at home have to be enough again before the others are left: leaving
 #: and following again costs all that changed meanwhile.
 _REGAINED_S = 2.0
-#: Time in which those at home tell all they know when this process starts: the others
-#: would tell it the same once more.
+#: Time in which those at home tell all they know after a start or when all were out of
+#: sight: the others would tell it the same once more.
 _FIRST_TELLING_S = 1.0
 
 log = make_logger("registry")
@@ -53,15 +54,46 @@
     home = [
         link
         for link in live
-        if link.failure_domain == failure_domain
-        and link.hears_leader
-        and link.settled
-        and (link.complete or may_be_incomplete)
+        if link.failure_domain == failure_domain and _is_whole(link, may_be_incomplete)
     ]
     home.sort(key=lambda link: link.address)
     return home[:HOME_COUNT] if len(home) >= HOME_COUNT else []
 
 
+def _is_whole(link: HubLink, may_be_incomplete: bool = False) -> bool:
+    """Tell whether a control instance knows all, and has told it or still does."""
+    has_told = link.complete or may_be_incomplete
+    return link.hears_leader and link.settled and has_told
+
+
+def count_others(
+    links: Iterable[HubLink], live: Iterable[HubLink], failure_domain: str
+) -> int:
+    """Count the control instances of other failure domains to follow.
+
+    Parameters
+    ----------
+    links : iterable of HubLink
+        All known control instances.
+    live : iterable of HubLink
+        Those that answered lately.
+    failure_domain : str
+        Of the entry instance.
+
+    Returns
+    -------
+    int
+        One where several are at home, and one of them knows all or two answer: those
+        at home and that one bear a loss. Else as many as make up the usual number.
+    """
+    known_domains = [link.failure_domain for link in links]
+    at_home = [link for link in live if link.failure_domain == failure_domain]
+    has_several = known_domains.count(failure_domain) >= HOME_COUNT
+    has_others = any(domain != failure_domain for domain in known_domains)
+    is_told = len(at_home) >= HOME_COUNT or any(map(_is_whole, at_home))
+    return 1 if has_several and has_others and is_told else FOLLOWED_COUNT - 1
+
+
 def find_unheard(home: Sequence[HubLink], live: Iterable[HubLink]) -> set[bytes]:
     """Find the control instances that others hear, and those at home don't.
 
@@ -176,9 +208,11 @@
             Empty if others are to be followed, too.
         """
         now_s = self._now_s()
+        if not live:
+            # Nobody is to be told from those at home when they answer again.
+            self._first_heard_s, self._enough_since_s = None, float("-inf")
+            return []
         if self._first_heard_s is None:
-            if not live:
-                return []
             self._first_heard_s = now_s
         home = self._judge(live, now_s)
         if bool(home) != self._is_enough:
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -13,6 +13,7 @@
     NO_RANK,
     EntryRank,
     count_domain,
+    count_told,
     rank_entries,
 )
 from agatethread.registry._rounds import MOST_MESSAGES, next_limit, order_turns
@@ -219,9 +220,7 @@
         self._forget_silent(now_s)
         # Nearly all have the same index, so a message is made once for all.
         prepared: dict[tuple[int, bool, bool], list[RegistryMessage]] = {}
-        turns = order_turns(
-            self._in_sight(now_s), self._failure_domain, self._next_turn
-        )
+        turns = order_turns(self.in_sight(), self._failure_domain, self._next_turn)
         for address, subscriber in turns:
             if self._told_count >= self._limit_count:
                 self._next_turn = address
@@ -237,12 +236,8 @@
 
     def _rank_entries(self) -> None:
         entries = [(one.failure_domain, it) for it, one in self.entries_in_sight()]
-        told: dict[str, int] = {}
-        for link in self.list_hubs():
-            known_count = told.get(link.failure_domain, 0)
-            told[link.failure_domain] = max(known_count, link.rank.count)
         self._home_count = sum(one == self._failure_domain for one, _ in entries)
-        self._ranks = rank_entries(entries, told)
+        self._ranks = rank_entries(entries, count_told(self.list_hubs()))
 
     def _forget_silent(self, now_s: float) -> None:
         oldest_s = now_s - _FORGET_SUBSCRIBER_S
@@ -307,12 +302,13 @@
         tuple of (bytes, Subscriber)
             Packed address, and what it has.
         """
-        for address, subscriber in self._in_sight(self._now_s()):
+        for address, subscriber in self.in_sight():
             if not subscriber.is_control:
                 yield address, subscriber
 
-    def _in_sight(self, now_s: float) -> Iterator[tuple[bytes, Subscriber]]:
-        oldest_s = now_s - _SUBSCRIBER_LEASE_S
+    def in_sight(self) -> Iterator[tuple[bytes, Subscriber]]:
+        """List the instances of both roles that are told of changes."""
+        oldest_s = self._now_s() - _SUBSCRIBER_LEASE_S
         for address, subscriber in self._subscribers.items():
             if subscriber.heard_s >= oldest_s:
                 yield address, subscriber
@@ -355,7 +351,7 @@
         sums = self._sightings.sum_up_domain(self._failure_domain, now_s)
         if sums.runs:
             message = RegistryMessage(sightings=sums)
-            for address, one in self._in_sight(now_s):
+            for address, one in self.in_sight():
                 if one.is_control and one.failure_domain != self._failure_domain:
                     self._send(message, address)
 
@@ -385,7 +381,7 @@
     def _settle_waiting(self) -> None:
         if not self._waiting:
             return
-        seen = [one.seen_index for _, one in self._in_sight(self._now_s())]
+        seen = [one.seen_index for _, one in self.in_sight()]
         self._waiting.settle(min(seen, default=self._runs.index))
 
     def dump(self) -> list[dict[str, object]]:
--- a/src/agatethread/registry/_presence.py
+++ b/src/agatethread/registry/_presence.py
@@ -93,6 +93,33 @@
     return ranks
 
 
+class _Told(Protocol):
+    """What is looked at of a control instance that says how many it hears at home."""
+
+    failure_domain: str
+    rank: EntryRank
+
+
+def count_told(hubs: Iterable[_Told]) -> dict[str, int]:
+    """Count the entry instances of each failure domain, as control instances say.
+
+    Parameters
+    ----------
+    hubs : iterable of HubLink
+        The control instances.
+
+    Returns
+    -------
+    dict of str to int
+        By failure domain; as the one says that hears the most.
+    """
+    counts: dict[str, int] = {}
+    for hub in hubs:
+        known_count = counts.get(hub.failure_domain, 0)
+        counts[hub.failure_domain] = max(known_count, hub.rank.count)
+    return counts
+
+
 def count_domain(
     subscribers: Mapping[bytes, Subscriber], address: bytes, now_s: float
 ) -> DomainCounts:
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -8,14 +8,14 @@
 
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.registry._chunks import ChunkedTable
-from agatethread.registry._evacuations import KnownEvacuations
+from agatethread.registry._evacuations import EvacuationPublisher, KnownEvacuations
 from agatethread.registry._following import (
     choose_followed,
     choose_routes_teller,
     is_enough,
     needs_asking,
 )
-from agatethread.registry._home import HomeChoice, add_home
+from agatethread.registry._home import HomeChoice, add_home, count_others
 from agatethread.registry._knocking import Knocker
 from agatethread.registry._link import HubLink
 from agatethread.registry._presence import DomainView, merge_counts
@@ -70,8 +70,9 @@
         Called with each newer routing table.
     counters : Counters
         Counts what arrives.
-    evacuations : KnownEvacuations, optional
-        What is known of them; a control instance has them from the log.
+    evacuations : KnownEvacuations or EvacuationPublisher, optional
+        What is known of them; a control instance has them from the log, and says what
+        its entry instances know.
     """
 
     def __init__(
@@ -85,7 +86,7 @@
         on_run: Callable[[BackendRun], None],
         on_routes: Callable[[RoutingTable], None],
         counters: Counters,
-        evacuations: KnownEvacuations | None = None,
+        evacuations: KnownEvacuations | EvacuationPublisher | None = None,
     ):
         self._failure_domain = failure_domain
         self._is_control = is_control
@@ -163,10 +164,12 @@
             self._ask(home)
             self._knocker.watch(home)
             return
-        followed = choose_followed(self.live(), self._failure_domain)
-        asked = add_home(followed, self.live(), self._failure_domain)
+        live, domain = self.live(), self._failure_domain
+        others_count = count_others(self.links.values(), live, domain)
+        followed = choose_followed(live, domain, others_count)
+        asked = add_home(followed, live, domain)
         self._ask(asked)
-        if not is_enough(followed):
+        if not is_enough(followed, 1 + others_count):
             self._knocker.knock(asked)
         else:
             self._knocker.knock_at_home(asked)
@@ -232,7 +235,7 @@
             presence=self.presence,
             probe=probe,
             without_routes=teller is not None and teller is not link,
-            evacuations_version=self._evacuations.version,
+            evacuations_version=self._evacuations.known_version,
             takes_numbers=self._is_control,
         )
         self._send(RegistryMessage(poll=poll), link.address)
--- a/tests/registry/test_evacuations.py
+++ b/tests/registry/test_evacuations.py
@@ -99,6 +99,21 @@
         world.step(4)
         self.assertTrue(await publisher.wait_until_known(7, 0.01))
 
+    async def test_wait_is_also_for_those_that_others_tell(self):
+        """One of another domain waits for the entry instance that only home tells."""
+        world = World(("a", "a", "b", "b"))
+        world.step(30)
+        publisher = world.publishers[address(2)]
+        self.assertEqual(len(list(world.hub(2).entries_in_sight())), 0)
+        home = address(0), address(1)
+        world.cut_pairs = {frozenset((world.entry_address, one)) for one in home}
+        world.evacuate(7, "b")
+        world.deliver()
+        self.assertFalse(await publisher.wait_until_known(7, 0.01))
+        world.cut_pairs = set()
+        world.step(4)
+        self.assertTrue(await publisher.wait_until_known(7, 0.01))
+
     async def test_nobody_in_sight_is_not_waited_for(self):
         """Without entry instances the order is answered at once."""
         world = World(("a",))
