--- a/src/agatethread/registry/_evacuations.py
+++ b/src/agatethread/registry/_evacuations.py
@@ -85,6 +85,7 @@
         known, elsewhere = [], []
         for address, subscriber in self._subscribers():
             if subscriber.is_control:
+                # One of a version that reads no numbers does not say it either.
                 if subscriber.takes_numbers:
                     elsewhere.append(subscriber.evacuations_version)
                 continue
--- a/src/agatethread/registry/_following.py
+++ b/src/agatethread/registry/_following.py
@@ -204,7 +204,9 @@
     return has_runs or has_routes
 
 
-def needs_asking(link: HubLink, live: Iterable[HubLink], now_s: float) -> bool:
+def needs_asking(
+    link: HubLink, live: Iterable[HubLink], now_s: float, routes_version: int
+) -> bool:
     """Tell whether one that has just said that it is there is asked for all it knows.
 
     Parameters
@@ -215,6 +217,8 @@
         Those that answered lately.
     now_s : float
         Present time.
+    routes_version : int
+        Of the table that is known; 0 if there is none, and nothing can be served.
 
     Returns
     -------
@@ -229,4 +233,7 @@
         or one.polled_s > oldest_s
         or (one.seen_index > 0 and not one.is_left)
     ]
+    has_first_table = link.routes_version > 0 and not routes_version
+    if has_first_table and not any(one.routes_version for one in telling):
+        return True
     return not telling or knows_more(link, telling)
--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -21,6 +21,7 @@
 from agatethread.registry._sightings import SightingPool
 from agatethread.registry._subscribers import Subscriber, describe_all, list_controls
 from agatethread.registry._waiting import IndexWaiters
+from agatethread.registry._watchers import Watchers
 from agatethread.wire.registry_pb2 import (
     PRESENCE_LEAVING,
     Delta,
@@ -91,6 +92,7 @@
         #: What entry instances were sent that have not asked yet.
         self._expected: dict[bytes, Subscriber] = {}
         self._sightings = SightingPool()
+        self._watchers = Watchers()
         self._ranks: dict[bytes, EntryRank] = {}
         #: Entry instances of the own failure domain that are heard.
         self._home_count = 0
@@ -123,11 +125,11 @@
         tuple of KnownEntry
             In the order of their addresses.
         """
-        return tuple(
-            KnownEntry(address, subscriber.failure_domain)
-            for address, subscriber in sorted(self._subscribers.items())
-            if not subscriber.is_control
-        )
+        known = {one.address: one for one in self._watchers.known(self._now_s())}
+        for address, subscriber in self._subscribers.items():
+            if not subscriber.is_control:
+                known[address] = KnownEntry(address, subscriber.failure_domain)
+        return tuple(known[address] for address in sorted(known))
 
     def greet(self, entries: Iterable[KnownEntry]) -> None:
         """Tell the entry instances that this one knew that it is there.
@@ -179,6 +181,7 @@
             self._settle_waiting()
             return
         if poll.probe and poll.failure_domain != self._failure_domain:
+            self._watchers.note(address, poll.failure_domain, self._now_s())
             self._send(self._greeting(), address)
             return
         subscriber = self._subscribers.get(address)
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -296,7 +296,8 @@
 
     def _on_greeting(self, link: HubLink) -> None:
         """Ask a control instance that is there, unless one as good tells already."""
-        if needs_asking(link, self.live(), self._now_s()):
+        now_s = self._now_s()
+        if needs_asking(link, self.live(), now_s, self.routes_version):
             self._send_poll(link, wants_reply=True)
 
     def _take_run(self, link: HubLink, run: BackendRun) -> None:
--- a/tests/registry/test_home.py
+++ b/tests/registry/test_home.py
@@ -7,7 +7,7 @@
 from logbook import TestHandler
 
 from agatethread.observability import Event
-from agatethread.registry import SightingPool, are_silent, is_cut_off
+from agatethread.registry import KnownEntry, SightingPool, are_silent, is_cut_off
 from agatethread.registry._home import HOME_COUNT
 from agatethread.registry._presence import rank_entries
 from agatethread.registry._subscribers import Subscriber
@@ -21,6 +21,11 @@
 AWAY = {address(number) for number in range(2, 6)}
 
 
+def known_entries():
+    """The entry instance, as control instances remember it."""
+    return [KnownEntry(address(99), "a")]
+
+
 def followed(world):
     """Addresses of those that the entry instance polls."""
     return {link.address for link in world.entry._followed}
@@ -105,6 +110,32 @@
         for place in AWAY:
             self.assertEqual(self.world.entry.links[place].seen_index, 0)
 
+    def test_one_that_only_looks_is_greeted_after_a_restart(self):
+        """A control instance elsewhere knows whom to greet after a loss of power."""
+        self.world.step(40)
+        for number in range(6):
+            (known,) = self.world.hub(number).entries()
+            self.assertEqual((known.address, known.failure_domain), (address(99), "a"))
+        self.world.cut = {self.world.entry_address}
+        self.world.step(120)
+        self.assertEqual(self.world.hub(4).entries(), ())
+
+    def test_first_table_comes_from_whoever_has_it(self):
+        """While those at home open their logs, one elsewhere tells it at once."""
+        world = World(PAIRS)
+        world.cut = {world.entry_address}
+        world.step(20)
+        for number in range(2, 6):
+            world.hub(number).offer_routes(compressed_table(9))
+        world.cut = AWAY
+        world.step(1)
+        world.cut = set()
+        self.assertTrue(world.entry.is_complete())
+        for number in range(2, 6):
+            world.hub(number).greet(known_entries())
+        world.deliver()
+        self.assertEqual(world.entry.routes_version, 9)
+
     def test_loss_of_the_one_that_is_followed_elsewhere(self):
         """Another one takes over; tables go on to come while home has no leader."""
         self.world.leaderless = set(HOME)
