--- a/src/agatethread/registry/_hub.py
+++ b/src/agatethread/registry/_hub.py
@@ -13,6 +13,7 @@
     NO_RANK,
     EntryRank,
     count_domain,
+    count_told,
     rank_entries,
 )
 from agatethread.registry._rounds import MOST_MESSAGES, next_limit, order_turns
@@ -20,6 +21,7 @@
 from agatethread.registry._sightings import SightingPool
 from agatethread.registry._subscribers import Subscriber, describe_all, list_controls
 from agatethread.registry._waiting import IndexWaiters
+from agatethread.registry._watchers import Watchers
 from agatethread.wire.registry_pb2 import (
     PRESENCE_LEAVING,
     Delta,
@@ -90,6 +92,7 @@
         #: What entry instances were sent that have not asked yet.
         self._expected: dict[bytes, Subscriber] = {}
         self._sightings = SightingPool()
+        self._watchers = Watchers()
         self._ranks: dict[bytes, EntryRank] = {}
         #: Entry instances of the own failure domain that are heard.
         self._home_count = 0
@@ -122,11 +125,11 @@
         tuple of KnownEntry
             In the order of their addresses.
         """
-        return tuple(
-            KnownEntry(address, subscriber.failure_domain)
-            for address, subscriber in sorted(self._subscribers.items())
-            if not subscriber.is_control
-        )
+        known = {one.address: one for one in self._watchers.known(self._now_s())}
+        for address, subscriber in self._subscribers.items():
+            if not subscriber.is_control:
+                known[address] = KnownEntry(address, subscriber.failure_domain)
+        return tuple(known[address] for address in sorted(known))
 
     def greet(self, entries: Iterable[KnownEntry]) -> None:
         """Tell the entry instances that this one knew that it is there.
@@ -178,6 +181,7 @@
             self._settle_waiting()
             return
         if poll.probe and poll.failure_domain != self._failure_domain:
+            self._watchers.note(address, poll.failure_domain, self._now_s())
             self._send(self._greeting(), address)
             return
         subscriber = self._subscribers.get(address)
@@ -220,9 +224,7 @@
         self._forget_silent(now_s)
         # Nearly all have the same index, so a message is made once for all.
         prepared: dict[tuple[int, bool, bool], list[RegistryMessage]] = {}
-        turns = order_turns(
-            self._in_sight(now_s), self._failure_domain, self._next_turn
-        )
+        turns = order_turns(self.in_sight(), self._failure_domain, self._next_turn)
         for address, subscriber in turns:
             if self._told_count >= self._limit_count:
                 self._next_turn = address
@@ -238,12 +240,8 @@
 
     def _rank_entries(self) -> None:
         entries = [(one.failure_domain, it) for it, one in self.entries_in_sight()]
-        told: dict[str, int] = {}
-        for link in self.list_hubs():
-            known_count = told.get(link.failure_domain, 0)
-            told[link.failure_domain] = max(known_count, link.rank.count)
         self._home_count = sum(one == self._failure_domain for one, _ in entries)
-        self._ranks = rank_entries(entries, told)
+        self._ranks = rank_entries(entries, count_told(self.list_hubs()))
 
     def _forget_silent(self, now_s: float) -> None:
         oldest_s = now_s - _FORGET_SUBSCRIBER_S
@@ -308,12 +306,13 @@
         tuple of (bytes, Subscriber)
             Packed address, and what it has.
         """
-        for address, subscriber in self._in_sight(self._now_s()):
+        for address, subscriber in self.in_sight():
             if not subscriber.is_control:
                 yield address, subscriber
 
-    def _in_sight(self, now_s: float) -> Iterator[tuple[bytes, Subscriber]]:
-        oldest_s = now_s - _SUBSCRIBER_LEASE_S
+    def in_sight(self) -> Iterator[tuple[bytes, Subscriber]]:
+        """List the instances of both roles that are told of changes."""
+        oldest_s = self._now_s() - _SUBSCRIBER_LEASE_S
         for address, subscriber in self._subscribers.items():
             if subscriber.heard_s >= oldest_s:
                 yield address, subscriber
@@ -356,7 +355,7 @@
         sums = self._sightings.sum_up_domain(self._failure_domain, now_s)
         if sums.runs:
             message = RegistryMessage(sightings=sums)
-            for address, one in self._in_sight(now_s):
+            for address, one in self.in_sight():
                 if one.is_control and one.failure_domain != self._failure_domain:
                     self._send(message, address)
 
@@ -386,7 +385,7 @@
     def _settle_waiting(self) -> None:
         if not self._waiting:
             return
-        seen = [one.seen_index for _, one in self._in_sight(self._now_s())]
+        seen = [one.seen_index for _, one in self.in_sight()]
         self._waiting.settle(min(seen, default=self._runs.index))
 
     def dump(self) -> list[dict[str, object]]:
