--- a/src/agatethread/datapath/_placing.py
+++ b/src/agatethread/datapath/_placing.py
@@ -138,6 +138,29 @@
     return weight < 1.0 and draw() >= weight
 
 
+def _take_least(
+    candidates: Iterable[Backend],
+    load_of: Callable[[Backend], float],
+    now_s: float,
+    tried: Sequence[Backend],
+) -> Backend | None:
+    """Take the least loaded run, by chance where loads are equal.
+
+    One that did not answer this flow, is avoided or left out this time comes behind.
+    """
+    best, best_cost = None, (True, True, 0.0, 0.0)
+    for backend in candidates:
+        cost = (
+            backend in tried,
+            now_s < backend.penalty_until_s or is_spared(backend, now_s),
+            load_of(backend),
+            random.random(),
+        )
+        if best is None or cost < best_cost:
+            best, best_cost = backend, cost
+    return best
+
+
 def choose_backend(
     backends: Iterable[Backend],
     failure_domain: str,
@@ -166,19 +189,12 @@
     Backend or None
         None when no run is a candidate.
     """
-    best, best_cost = None, (True, True, 0.0, 0.0)
-    for backend in backends:
-        if not may_take(backend):
-            continue
-        cost = (
-            backend in tried,
-            now_s < backend.penalty_until_s or is_spared(backend, now_s),
-            _cost(backend, failure_domain, now_s, policies),
-            random.random(),
-        )
-        if best is None or cost < best_cost:
-            best, best_cost = backend, cost
-    return best
+    return _take_least(
+        filter(may_take, backends),
+        lambda one: _cost(one, failure_domain, now_s, policies),
+        now_s,
+        tried,
+    )
 
 
 def count_places(backend: Backend) -> int:
@@ -229,21 +245,17 @@
     Backend or None
         None when no run has a place.
     """
-    best, best_cost = None, (True, True, 0.0, 0.0)
-    for backend in backends:
-        count = in_progress.get(backend, 0)
-        if count >= count_places(backend):
-            continue
+
+    def load_of(backend: Backend) -> float:
         factor = policies.cold_factor if now_s < backend.warm_s else 1.0
-        cost = (
-            backend in tried,
-            now_s < backend.penalty_until_s or is_spared(backend, now_s),
-            factor * (count + 1) / backend.slots,
-            random.random(),
-        )
-        if best is None or cost < best_cost:
-            best, best_cost = backend, cost
-    return best
+        return factor * (in_progress.get(backend, 0) + 1) / backend.slots
+
+    with_room = (
+        backend
+        for backend in backends
+        if in_progress.get(backend, 0) < count_places(backend)
+    )
+    return _take_least(with_room, load_of, now_s, tried)
 
 
 def place_flow(
