--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -113,6 +113,8 @@
             f"seed_addrs={seeds}",
             f"bootstrap={'false' if machine.has_run else 'true'}",
             f"heartbeat_interval_ms={int(REPORT_INTERVAL_S * 1000)}",
+            # So that faults meet the parts that are on only where they are called for.
+            "invariants=pressure,health",
             f"fault_tolerance.machines={self._losses_borne}",
             f"bounds.grace_s={GRACE_S}",
             f"listen_addrs.control_plane={host}:{ports.api}",
