--- a/src/agatethread/datapath/_relaying.py
+++ b/src/agatethread/datapath/_relaying.py
@@ -151,7 +151,7 @@
         return True
 
     def _start(self, key: FlowKey, service: str, now_s: float) -> _Relayed | None:
-        dispatcher = self._draw(service, now_s)
+        dispatcher = self._choose(service, now_s)
         if dispatcher is None or len(self._relayed) >= _MOST_RELAYED:
             return None
         known = self._relayed[key] = _Relayed(dispatcher, service, now_s, now_s)
@@ -160,7 +160,7 @@
     def _move(self, key: FlowKey, known: _Relayed, now_s: float) -> _Relayed | None:
         """Choose another dispatcher for an opening that the first one lost."""
         self._tell_end(key, known.dispatcher)
-        dispatcher = self._draw(known.service, now_s, known.dispatcher)
+        dispatcher = self._choose(known.service, now_s, known.dispatcher)
         if dispatcher is None:
             self._forget(key)
             return None
@@ -192,7 +192,7 @@
             waited_s=round(now_s - known.first_s, 3),
         )
 
-    def _draw(self, service: str, now_s: float, lost: bytes = b"") -> bytes | None:
+    def _choose(self, service: str, now_s: float, lost: bytes = b"") -> bytes | None:
         """Choose this instance itself, else draw a dispatcher by its slots.
 
         What an instance places on servers of its own takes no message, and most of a
