--- a/src/agatethread/settings/_policies.py
+++ b/src/agatethread/settings/_policies.py
@@ -23,11 +23,9 @@
 
     #: Requests by which a backend server of the own failure domain must be busier
     #: before another domain's is chosen; 0: all domains alike. Bytes between domains
-    #: cost, and take a millisecond more; an even load is worth more than both. Trials
-    #: gave 0.949 of the worth with 1.5 and 0.946 with 0.
+    #: cost, and take a millisecond more; an even load is worth more than both.
     domain_preference_count: float = _threshold(1.5, 0.0, 0.0, 100.0)
-    #: How much slower a backend server counts just after its start, as measured on the
-    #: platform; 1: like any other.
+    #: How much slower a backend server counts just after its start; 1: like any other.
     cold_factor: float = _threshold(1.6, 1.0, 1.0, 100.0)
     #: Whether a cold backend server gets no new flow while a warm one can take it, and
     #: few else, where its service tells what a cold one bears; else it only counts as
