--- a/src/agatethread/cli/_ctl.py
+++ b/src/agatethread/cli/_ctl.py
@@ -19,8 +19,9 @@
     set_draining,
     wait_and_report,
 )
-from agatethread.cli._explanation import explain, read_logs
+from agatethread.cli._explanation import explain
 from agatethread.cli._explanation_text import format_explanation
+from agatethread.cli._log_lines import read_logs
 from agatethread.cli._policies import describe_policies, read_policies
 from agatethread.cli._results import (
     EXIT_DONE,
--- a/src/agatethread/cli/_explanation_text.py
+++ b/src/agatethread/cli/_explanation_text.py
@@ -8,7 +8,8 @@
 from datetime import datetime
 from typing import Any
 
-from agatethread.cli._explanation import Explanation, LogLine
+from agatethread.cli._explanation import Explanation
+from agatethread.cli._log_lines import LogLine
 
 #: Longest pause between lines of a group. Longer than updates take to reach all
 #: instances; later lines are due to another event.
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -9,7 +9,6 @@
 import importlib
 import zlib
 from collections.abc import Mapping
-from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 from mode import Service
@@ -20,7 +19,11 @@
 from agatethread.control._orders import OperatorRequests
 from agatethread.control._raft import RaftNode
 from agatethread.control._roles import Role
-from agatethread.control._routing_metrics import dump_member, make_measures
+from agatethread.control._routing_metrics import (
+    dump_member,
+    dump_registry,
+    make_measures,
+)
 from agatethread.control._routing_settings import RoutingControlSettings
 from agatethread.control._storage import LogStorage
 from agatethread.observability import Counters, Event, Metrics, make_logger
@@ -357,12 +360,14 @@
         elif self.quality:
             self.quality.on_message(message, source)
 
-    def _on_run(self, run: BackendRun) -> None:
-        if self.runs.apply_peer_run(run):
+    def _on_run(self, run: BackendRun, source: bytes) -> None:
+        if self.runs.apply_peer_run(run, source):
             self.hub.flush_if_due()
 
-    def _on_number(self, number: int, sequence: int, starts: Mapping[str, int]) -> None:
-        if self.runs.apply_numbered_report(number, sequence, starts):
+    def _on_number(
+        self, number: int, sequence: int, starts: Mapping[str, int], source: bytes
+    ) -> None:
+        if self.runs.apply_numbered_report(number, sequence, starts, source):
             self.hub.flush_if_due()
 
     def measures(self) -> Metrics:
@@ -385,14 +390,7 @@
         dict
             Values that JSON can hold.
         """
-        dump: dict[str, Any] = {
-            "instance": self.settings.name,
-            "failure_domain": self.settings.failure_domain,
-            "runs": self.runs.dump(),
-            "subscribers": self.hub.dump(),
-            "policies": asdict(self.settings.policies),
-            "counters": dict(self.counters),
-        }
+        dump = dump_registry(self.settings, self.runs, self.hub, self.counters)
         if self.quality:
             dump["quality"] = self.quality.dump()
         if self.node is not None:
--- a/src/agatethread/control/_routing_metrics.py
+++ b/src/agatethread/control/_routing_metrics.py
@@ -1,10 +1,12 @@
 """Metrics and dump of a control instance."""
 
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any
 
 from agatethread.control._raft import RaftNode
 from agatethread.control._roles import Role
+from agatethread.control._routing_settings import RoutingControlSettings
 from agatethread.observability import Counters, Histogram, Metrics
 from agatethread.registry import RegistryPublisher, RunTable
 
@@ -61,6 +63,40 @@
     )
 
 
+def dump_registry(
+    settings: RoutingControlSettings,
+    runs: RunTable,
+    hub: RegistryPublisher,
+    counters: Counters,
+) -> dict[str, Any]:
+    """Return the state of the registry of a control instance.
+
+    Parameters
+    ----------
+    settings : RoutingControlSettings
+        Settings of the instance.
+    runs : RunTable
+        Runs of the backend servers.
+    hub : RegistryPublisher
+        Lists the subscribers.
+    counters : Counters
+        The process's counters.
+
+    Returns
+    -------
+    dict
+        Values that JSON can hold.
+    """
+    return {
+        "instance": settings.name,
+        "failure_domain": settings.failure_domain,
+        "runs": runs.dump(),
+        "subscribers": hub.dump(),
+        "policies": asdict(settings.policies),
+        "counters": dict(counters),
+    }
+
+
 def dump_member(node: RaftNode) -> dict[str, Any]:
     """Return the state of a member of the log.
 
--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -1,11 +1,13 @@
 """State of one run of a backend server at an entry instance."""
 
+from dataclasses import dataclass
+
 from agatethread.datapath._packets import FlowKey
 from agatethread.observability import Event, make_logger
 from agatethread.registry import derive_label
 from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire import unpack_address
-from agatethread.wire.registry_pb2 import BackendRun
+from agatethread.wire.registry_pb2 import RUN_END_UNKNOWN, BackendRun
 
 #: Consecutive missing answers to openings or requests from which a run is avoided. A
 #: single one may be due to a lost packet or a full queue.
@@ -26,6 +28,32 @@
 log = make_logger("backends")
 
 
+@dataclass(frozen=True, slots=True)
+class UnreachableVerdict:
+    """The evidence on which a run was found unreachable.
+
+    Attributes
+    ----------
+    at_s : float
+        Time of the verdict.
+    silent_s : float
+        Time for which the run answered nobody.
+    flows_waiting : int
+        Flows at this instance that waited for an answer.
+    answered_by : str
+        Id of another run that had just answered.
+    waiting_everywhere, observers : int
+        Waiting flows at all instances, and the number of these instances.
+    """
+
+    at_s: float
+    silent_s: float
+    flows_waiting: int
+    answered_by: str
+    waiting_everywhere: int
+    observers: int
+
+
 class Backend:
     """One run of a backend server, as seen by this instance.
 
@@ -48,6 +76,8 @@
         "earlier_labels",
         "ended",
         "ended_s",
+        "end",
+        "end_told_by",
         "evacuated",
         "failure_domain",
         "failures",
@@ -58,17 +88,21 @@
         "_max_avoidance_s",
         "number",
         "penalty_until_s",
+        "report_age_s",
         "reporting",
+        "restored",
         "sequence",
         "service",
         "is_label_taken",
         "reporting_changed_s",
         "slots",
         "started_ms",
+        "told_by",
         "updated_s",
         "last_unanswered_s",
         "unreachable",
         "usual_answer_s",
+        "verdict",
         "waiting",
         "waiting_since_s",
         "warm_s",
@@ -89,11 +123,20 @@
         self.failure_domain = run.failure_domain
         self.slots = max(1, run.slots)
         self.sequence = 0
-        #: Time of the last update from a control instance.
+        #: Time of the last update from a control instance, and its packed address.
         self.updated_s = 0.0
+        self.told_by = b""
+        #: Age of the newest report at that control instance, and whether it knew the
+        #: run from its disk only.
+        self.report_age_s = 0.0
+        self.restored = False
         self.draining = False
         self.ended = False
         self.ended_s = 0.0
+        #: How the end is known, and the packed address of the control instance that
+        #: told of it.
+        self.end = RUN_END_UNKNOWN
+        self.end_told_by = b""
         #: Whether the failure domain of the run is evacuated.
         self.evacuated = False
         #: Whether control instances receive its reports; assumed until they say no.
@@ -129,6 +172,8 @@
         self.unreachable = False
         #: Time of the last evidence of a missing answer.
         self.last_unanswered_s = 0.0
+        #: Evidence of the last time that the run was found unreachable.
+        self.verdict: UnreachableVerdict | None = None
 
     def usable_weight(self, now_s: float) -> float:
         """Return the current factor on the run's share of new flows.
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -3,9 +3,14 @@
 from collections.abc import Callable, Iterable
 
 from agatethread.datapath._backend import Backend
+from agatethread.datapath._resets import describe_belief, format_source
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.settings import DEFAULT_POLICIES, Policies
-from agatethread.wire.registry_pb2 import BackendRun
+from agatethread.wire.registry_pb2 import (
+    RUN_END_STARTED_AGAIN,
+    BackendRun,
+    RunEnd,
+)
 
 #: Time for which ended runs are kept, so that packets of their flows are reset.
 _ENDED_RETENTION_S = 60.0
@@ -88,7 +93,7 @@
         """
         return self._by_service.get(service, [])
 
-    def update_run(self, run: BackendRun) -> None:
+    def update_run(self, run: BackendRun, source: bytes = b"") -> None:
         """Update a run from a message of a control instance.
 
         Earlier runs and lower sequence numbers are ignored, and draining and ended are
@@ -99,6 +104,8 @@
         ----------
         run : BackendRun
             State of the run.
+        source : bytes, optional
+            Packed address of the control instance.
         """
         backend = self._by_id.get(run.id)
         if backend is None and not run.service:
@@ -107,22 +114,23 @@
         if backend is not None and run.started_ms < backend.started_ms:
             return
         if backend is None:
-            backend = self._add(run)
+            backend = self._add(run, source)
         elif run.started_ms > backend.started_ms:
-            backend = self._replace(backend, run)
-        self._update(backend, run)
+            backend = self._replace(backend, run, source)
+        self._update(backend, run, source)
 
-    def _update(self, backend: Backend, run: BackendRun) -> None:
+    def _update(self, backend: Backend, run: BackendRun, source: bytes) -> None:
         if run.sequence > backend.sequence:
             backend.slots = max(1, run.slots)
             backend.sequence = run.sequence
             backend.warm_s = self._now_s() + run.warm_up_ms / 1000
         backend.updated_s = self._now_s()
+        _store_evidence(backend, run, source)
         if run.draining and not backend.draining:
             backend.draining = True
             self._record_change(backend, Event.RUN_DRAINING)
         if run.ended and not backend.ended:
-            self._mark_ended(backend)
+            self._mark_ended(backend, run.end, source)
             self._newly_ended.append(backend)
 
     def set_evacuations(self, failure_domains: frozenset[str]) -> None:
@@ -199,8 +207,9 @@
         ended, self._newly_ended = self._newly_ended, []
         return ended
 
-    def _add(self, run: BackendRun) -> Backend:
+    def _add(self, run: BackendRun, source: bytes) -> Backend:
         backend = Backend(run, self._policies)
+        _store_evidence(backend, run, source)
         backend.evacuated = self._is_evacuated(backend)
         self._by_id[run.id] = backend
         existing = self._by_label.get(backend.label)
@@ -217,7 +226,7 @@
         self._record_change(backend, Event.RUN_ADDED)
         return backend
 
-    def _replace(self, earlier: Backend, run: BackendRun) -> Backend:
+    def _replace(self, earlier: Backend, run: BackendRun, source: bytes) -> Backend:
         """Replace a run by a later run of the same id.
 
         The earlier label then maps to the later run. An instance that does not know the
@@ -226,14 +235,14 @@
         connection for.
         """
         if not earlier.ended:
-            self._mark_ended(earlier)
+            self._mark_ended(earlier, RUN_END_STARTED_AGAIN, source)
         if not run.service:
             # The message tells only the end of the later run.
             earlier.started_ms = run.started_ms
             return earlier
         labels = [*earlier.earlier_labels, earlier.label]
         self._delete_labels(earlier, labels)
-        backend = self._add(run)
+        backend = self._add(run, source)
         backend.earlier_labels = labels[-_MAX_EARLIER_LABELS:]
         for label in backend.earlier_labels:
             self._by_label.setdefault(label, backend)
@@ -244,21 +253,38 @@
             if self._by_label.get(label) is backend:
                 del self._by_label[label]
 
-    def _mark_ended(self, backend: Backend) -> None:
+    def _mark_ended(self, backend: Backend, end: RunEnd, source: bytes) -> None:
         backend.ended = True
         backend.ended_s = self._now_s()
+        backend.end, backend.end_told_by = end, source
         self._by_service[backend.service].remove(backend)
-        self._record_change(backend, Event.BACKEND_ENDED)
+        self._count_change(Event.BACKEND_ENDED)
+        log.info(
+            Event.BACKEND_ENDED,
+            run=backend.id,
+            started_ms=backend.started_ms,
+            service=backend.service,
+            sequence=backend.sequence,
+            end=RunEnd.Name(end),
+            told_by=format_source(source),
+            last_report_ago_s=round(backend.report_age_s, 3),
+        )
 
-    def _record_change(self, backend: Backend, event: Event) -> None:
+    def _count_change(self, event: Event) -> None:
         # The counter is named after the event.
         self._counters[event.replace(" ", "_")] += 1
+
+    def _record_change(self, backend: Backend, event: Event) -> None:
+        self._count_change(event)
         log.info(
             event,
             run=backend.id,
             started_ms=backend.started_ms,
             service=backend.service,
             sequence=backend.sequence,
+            told_by=format_source(backend.told_by),
+            last_report_ago_s=round(backend.report_age_s, 3),
+            restored=backend.restored,
         )
 
     def update_reporting(self, is_reporting: Callable[[str, int], bool]) -> None:
@@ -307,5 +333,13 @@
                 "in_flight": backend.in_flight,
                 "failures": backend.failures,
             }
+            | describe_belief(backend, self._now_s())
             for backend in self._by_id.values()
         ]
+
+
+def _store_evidence(backend: Backend, run: BackendRun, source: bytes) -> None:
+    """Store who told of a run, and how old the newest report was there."""
+    backend.told_by = source
+    backend.report_age_s = run.report_age_ms / 1000
+    backend.restored = run.restored
--- a/src/agatethread/datapath/_flows.py
+++ b/src/agatethread/datapath/_flows.py
@@ -37,6 +37,7 @@
         "acknowledged",
         "backend",
         "busy",
+        "is_label_seen",
         "opened",
         "window_start",
         "last_packet_s",
@@ -51,6 +52,9 @@
         self.tried: tuple[Backend, ...] = ()
         #: Whether a packet after the opening was seen.
         self.opened = False
+        #: Whether the run is the one that the caller's last packet named; else it is
+        #: the one that the last opening was placed on.
+        self.is_label_seen = False
         #: Whether an opening or a request is counted as in progress.
         self.busy = False
         #: Time of the latest opening, request, new send window or counted
@@ -124,6 +128,7 @@
                 self.answer_monitor.on_unanswered_opening(flow.backend)
             flow.tried += (flow.backend,)
             self._reassign(flow, backend)
+        flow.is_label_seen = False
         flow.waiting_since_s = now_s
         flow.last_packet_s = now_s
         # Counts the request that follows the opening already, so that the next
@@ -167,6 +172,7 @@
             return
         if flow.backend is not backend:
             self._reassign(flow, backend)
+        flow.is_label_seen = True
         flow.last_packet_s = now_s
         if packet.closes or packet.resets:
             if self.answer_monitor:
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -27,6 +27,7 @@
 )
 from agatethread.datapath._placing import choose_service, order_services, place_flow
 from agatethread.datapath._reachability import should_reset_flow
+from agatethread.datapath._resets import FlowResetter
 from agatethread.datapath._shared_placing import SharedPlacing
 from agatethread.datapath._sightings import SightingExchange
 from agatethread.datapath._suspects import find_suspects, mark_if_unreachable
@@ -95,6 +96,7 @@
         self._send = send
         self._now_s = now_s
         self._counters = counters
+        self._resetter = FlowResetter(codec, send, now_s, counters)
         self._is_view_complete = is_view_complete
         self._policies = policies
         self._last_tick_s = now_s()
@@ -277,11 +279,11 @@
                 self._report_relayed_packet(packet.key)
             if self._should_reset_request(packet, backend):
                 self.loads.delete_flow(packet.key)
-                self._reset(packet, "backend_unreachable")
+                self._reset_flow(packet, "backend_unreachable", backend, None)
                 return
             self._forward(packet, backend)
         elif outcome is OpenFlowOutcome.RESET:
-            self._reset(packet, outcome.value)
+            self._reset_flow(packet, outcome.value, backend, None)
         else:
             self._drop(packet, outcome.value)
 
@@ -334,7 +336,7 @@
             self.loads.delete_flow(key)
             reason = "backend_ended" if has_ended else "backend_unreachable"
             packet = make_caller_packet(key, flow.backend.label, flow.acknowledged)
-            self._reset(packet, reason)
+            self._reset_flow(packet, reason, flow.backend, flow)
 
     def sightings(self) -> list[Sighting]:
         """Return the sightings for other entry instances; see `_sightings`.
@@ -380,18 +382,10 @@
         )
 
     def _reset(self, packet: Packet, reason: str) -> None:
-        if packet.resets:
-            return
-        self._counters[f"reset_{reason}"] += 1
-        log.info(
-            Event.FLOW_RESET,
-            why=reason,
-            flow=str(packet.key),
-            label=packet.label,
-            table_version=self.table.version,
-        )
-        data, target = (
-            self._codec.encode_reset(packet),
-            self._codec.caller_address(packet),
-        )
-        self._send(data, target, packet.key, packet.sequence)
+        self._resetter.refuse_opening(packet, reason, self.table.version)
+
+    def _reset_flow(
+        self, packet: Packet, reason: str, backend: Backend, flow: Flow | None
+    ) -> None:
+        version = self.table.version
+        self._resetter.reset_flow(packet, reason, backend, flow, version)
--- a/src/agatethread/datapath/_reachability.py
+++ b/src/agatethread/datapath/_reachability.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from agatethread.datapath._backend import Backend
+from agatethread.datapath._backend import Backend, UnreachableVerdict
 from agatethread.observability import Event, make_logger
 from agatethread.settings import DEFAULT_POLICIES, Policies
 
@@ -98,8 +98,8 @@
 ) -> bool:
     """Return whether a run is silent while other runs of its service answer.
 
-    Logs it if so. Clears the waiting flows of the run if they may wait because this
-    process was suspended.
+    Logs it if so, and stores the evidence in the run. Clears the waiting flows of the
+    run if they may wait because this process was suspended.
 
     Parameters
     ----------
@@ -133,12 +133,20 @@
     answering = _find_recently_answering(backend, runs, now_s)
     if answering is None:
         return False
+    backend.verdict = UnreachableVerdict(
+        at_s=now_s,
+        silent_s=round(silent_s, 3),
+        flows_waiting=len(backend.waiting),
+        answered_by=answering.id,
+        waiting_everywhere=pooled.waiting,
+        observers=pooled.observers,
+    )
     log.info(
         Event.BACKEND_UNREACHABLE,
         run=backend.id,
-        flows_waiting=len(backend.waiting),
-        silent_s=round(silent_s, 3),
-        answered_by=answering.id,
+        flows_waiting=backend.verdict.flows_waiting,
+        silent_s=backend.verdict.silent_s,
+        answered_by=backend.verdict.answered_by,
         waiting_everywhere=pooled.waiting,
         observers=pooled.observers,
     )
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -108,6 +108,18 @@
     CONNECTION_CLOSED = "connection closed by the stop"
 
 
+#: Fields of a change of a run at an entry instance.
+_RUN_FIELDS = frozenset(
+    {
+        "run",
+        "started_ms",
+        "service",
+        "sequence",
+        "told_by",
+        "last_report_ago_s",
+        "restored",
+    }
+)
 #: Fields of each event besides the common ones (time, level, instance, failure domain,
 #: part). A line may lack some of them.
 EVENT_FIELDS: Mapping[Event, frozenset[str]] = MappingProxyType(
@@ -153,13 +165,32 @@
             }
         ),
         Event.DISPATCHER_SILENT: frozenset({"dispatcher", "flow", "waited_s"}),
-        Event.FLOW_RESET: frozenset({"why", "flow", "label", "table_version"}),
+        Event.FLOW_RESET: frozenset(
+            {
+                "why",
+                "flow",
+                "label",
+                "table_version",
+                "run",
+                "run_known_from",
+                "last_packet_ago_s",
+                "end",
+                "told_by",
+                "told_ago_s",
+                "last_report_ago_s",
+                "last_answer_ago_s",
+                "silent_s",
+                "flows_waiting",
+                "answered_by",
+                "observers",
+            }
+        ),
         Event.PACKET_DROPPED: frozenset({"why", "flow", "label", "table_version"}),
         Event.DATAGRAM_FAILED: frozenset(),
-        Event.RUN_ADDED: frozenset({"run", "started_ms", "service", "sequence"}),
-        Event.RUN_REPORTING: frozenset({"run", "started_ms", "service", "sequence"}),
-        Event.RUN_DRAINING: frozenset({"run", "started_ms", "service", "sequence"}),
-        Event.RUN_SILENT: frozenset({"run", "started_ms", "service", "sequence"}),
+        Event.RUN_ADDED: _RUN_FIELDS,
+        Event.RUN_REPORTING: _RUN_FIELDS,
+        Event.RUN_DRAINING: _RUN_FIELDS,
+        Event.RUN_SILENT: _RUN_FIELDS,
         Event.BACKEND_AVOIDED: frozenset(
             {"run", "failures", "last_answer_ago_s", "pause_s"}
         ),
@@ -191,7 +222,18 @@
             {"run", "started_ms", "service", "last_report_ago_s"}
         ),
         Event.BACKEND_ENDED: frozenset(
-            {"run", "started_ms", "service", "sequence", "why"}
+            {
+                "run",
+                "started_ms",
+                "service",
+                "sequence",
+                "why",
+                "end",
+                "told_by",
+                "other_run",
+                "last_report_ago_s",
+                "last_report_by",
+            }
         ),
         Event.END_REFUSED: frozenset({"run", "started_ms", "ended_started_ms"}),
         Event.REPORT_REFUSED: frozenset(
--- a/src/agatethread/registry/_admission.py
+++ b/src/agatethread/registry/_admission.py
@@ -27,6 +27,7 @@
 `RUN_RETENTION_S`.
 """
 
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from enum import Enum
 
@@ -122,6 +123,39 @@
     return ReportVerdict.STARTS
 
 
+def check_service_and_start(
+    report: Report,
+    verdict: ReportVerdict,
+    services: Collection[str],
+    most_have_start: Callable[[], bool],
+) -> ReportVerdict:
+    """Return a refusal for an unknown service or start time, else the verdict.
+
+    Parameters
+    ----------
+    report : Report
+        An accepted report, received directly from its run.
+    verdict : ReportVerdict
+        Outcome of `check_report`.
+    services : collection of str
+        Names of the configured services; empty before the first routing table, when
+        every service is accepted.
+    most_have_start : callable
+        Returns whether most live runs report their start time.
+
+    Returns
+    -------
+    ReportVerdict
+        The outcome.
+    """
+    starts = verdict is ReportVerdict.STARTS
+    if starts and services and report.service not in services:
+        return ReportVerdict.UNKNOWN_SERVICE
+    if report.started_ms == START_UNKNOWN and most_have_start():
+        return ReportVerdict.START_MISSING
+    return verdict
+
+
 def _compare_with_known(report: Report, known_run: KnownRun) -> ReportVerdict:
     run = known_run.run
     if report.started_ms < run.started_ms:
--- a/src/agatethread/registry/_run_index.py
+++ b/src/agatethread/registry/_run_index.py
@@ -5,7 +5,17 @@
 
 from agatethread.registry._admission import is_live
 from agatethread.registry._report import START_UNKNOWN, Report
-from agatethread.wire.registry_pb2 import BackendRun
+from agatethread.settings import format_address
+from agatethread.wire import unpack_address
+from agatethread.wire.registry_pb2 import BackendRun, RunEnd
+
+#: Sources of a run's state other than the address of a control instance: the run
+#: itself, or the file that was saved before a restart.
+TOLD_BY_ITSELF = b""
+TOLD_BY_DISK = b"disk"
+
+#: Largest age of a report that is sent; keeps the milliseconds within 32 bits.
+_MAX_REPORT_AGE_S = 3_600.0
 
 #: Reports whose sequence is a multiple of this are sent in full.
 _FULL_REPORT_INTERVAL = 8
@@ -26,10 +36,14 @@
         "direct_index",
         "last_report_s",
         "run",
+        "told_by",
     )
 
     def __init__(self, run: BackendRun):
         self.run = run
+        #: Packed address of the control instance that sent the newest report;
+        #: `TOLD_BY_ITSELF` or `TOLD_BY_DISK` if none did.
+        self.told_by = TOLD_BY_ITSELF
         #: Time of the last report, end or restore, or of the end of a suspension of
         #: this process; 0 before the first report.
         self.last_report_s = 0.0
@@ -164,6 +178,40 @@
     return record.changed_index
 
 
+def record_evidence(record: RunRecord, now_s: float, usual_age_s: float) -> None:
+    """Store in the message of a run how old its newest report is, and where it is from.
+
+    The message of an ended run keeps the age that its last report had at the end.
+
+    Parameters
+    ----------
+    record : RunRecord
+        Stored run; its message is updated.
+    now_s : float
+        Current time.
+    usual_age_s : float
+        Age up to which a report is as new as that of any live run; it is left out, to
+        save bytes.
+    """
+    record.run.restored = record.told_by == TOLD_BY_DISK
+    if not record.run.ended:
+        age_s = now_s - record.last_report_s
+        store_report_age(record.run, age_s if age_s > usual_age_s else 0.0)
+
+
+def store_report_age(run: BackendRun, age_s: float) -> None:
+    """Store the age of a run's newest report in its message, within 32 bits.
+
+    Parameters
+    ----------
+    run : BackendRun
+        Message of the run.
+    age_s : float
+        Age of the report.
+    """
+    run.report_age_ms = round(min(age_s, _MAX_REPORT_AGE_S) * 1000)
+
+
 def is_number_sufficient(record: RunRecord, after_index: int) -> bool:
     """Return whether a report may be sent by run number.
 
@@ -269,6 +317,13 @@
     )
 
 
+def copy_run(run: BackendRun) -> BackendRun:
+    """Return a copy of the message of a run."""
+    copied = BackendRun()
+    copied.CopyFrom(run)
+    return copied
+
+
 def describe(record: RunRecord, now_s: float) -> dict[str, object]:
     """Return a run for a state dump.
 
@@ -294,4 +349,26 @@
         "ended": run.ended,
         "silent": run.silent,
         "heard_ago_s": round(now_s - record.last_report_s, 3),
+        "told_by": format_source(record.told_by),
+        "end": RunEnd.Name(run.end),
     }
+
+
+def format_source(source: bytes) -> str:
+    """Return the source of a run's state as text for logs.
+
+    Parameters
+    ----------
+    source : bytes
+        Packed address of a control instance, `TOLD_BY_ITSELF` or `TOLD_BY_DISK`.
+
+    Returns
+    -------
+    str
+        ``IP:port``, ``itself`` or ``disk``.
+    """
+    if source == TOLD_BY_ITSELF:
+        return "itself"
+    if source == TOLD_BY_DISK:
+        return "disk"
+    return format_address(unpack_address(source))
--- a/src/agatethread/registry/_run_logs.py
+++ b/src/agatethread/registry/_run_logs.py
@@ -1,14 +1,36 @@
 """Logs state changes of runs, and status and end reports that were not accepted."""
 
+from dataclasses import dataclass
+
 from agatethread.observability import Event, make_logger
 from agatethread.registry._admission import ReportVerdict
 from agatethread.registry._report import Report
-from agatethread.registry._run_index import RunRecord
-from agatethread.wire.registry_pb2 import BackendRun
+from agatethread.registry._run_index import TOLD_BY_ITSELF, RunRecord, format_source
+from agatethread.wire.registry_pb2 import RUN_END_UNKNOWN, BackendRun, RunEnd
 
 log = make_logger("registry")
 
 
+@dataclass(frozen=True, slots=True)
+class EndNotice:
+    """What the end of a run was concluded from.
+
+    Attributes
+    ----------
+    kind : RunEnd
+        How the end is known.
+    told_by : bytes
+        Packed address of the control instance that told of it; `TOLD_BY_ITSELF` for a
+        report received here.
+    other_run : str
+        Id of the run that uses the address now; empty if that was not the reason.
+    """
+
+    kind: int = RUN_END_UNKNOWN
+    told_by: bytes = TOLD_BY_ITSELF
+    other_run: str = ""
+
+
 def log_rejected_report(
     report: Report, verdict: ReportVerdict, holder: RunRecord | None, now_s: float
 ) -> None:
@@ -94,20 +116,37 @@
     )
 
 
-def log_ended(run: BackendRun, reason: str) -> None:
-    """Log the end of a run.
+def log_ended(record: RunRecord, reason: str, end: EndNotice, now_s: float) -> None:
+    """Log the end of a run, and what it was concluded from.
 
     Parameters
     ----------
-    run : BackendRun
-        The run.
+    record : RunRecord
+        The run, with its last report before the end.
     reason : str
         How the end was detected.
+    end : EndNotice
+        Who told of the end.
+    now_s : float
+        Present time.
     """
+    run = record.run
     log.info(
         Event.BACKEND_ENDED,
         run=run.id,
         started_ms=run.started_ms,
         service=run.service,
+        sequence=run.sequence,
         why=reason,
+        end=RunEnd.Name(end.kind),
+        told_by=format_source(end.told_by),
+        other_run=end.other_run or None,
+        last_report_ago_s=_last_report_ago_s(record, now_s),
+        last_report_by=format_source(record.told_by),
     )
+
+
+def _last_report_ago_s(record: RunRecord, now_s: float) -> float | None:
+    if not record.last_report_s:
+        return None
+    return round(now_s - record.last_report_s, 3)
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -9,38 +9,45 @@
 
 from agatethread.exceptions import ReportRefusedError
 from agatethread.registry._admission import (
-    RUN_RETENTION_S,
     KnownRun,
     ReportVerdict,
     check_report,
+    check_service_and_start,
     end_applies_to,
 )
 from agatethread.registry._report import START_UNKNOWN, Report
+from agatethread.registry._run_expiry import RunExpiry
 from agatethread.registry._run_index import (
+    TOLD_BY_DISK,
+    TOLD_BY_ITSELF,
     RunIndex,
     RunRecord,
+    copy_run,
     describe,
     is_number_sufficient,
     last_index,
+    record_evidence,
     refresh_by_number,
+    store_report_age,
     to_report,
     to_run,
 )
 from agatethread.registry._run_logs import (
+    EndNotice,
     log_changed_run,
     log_ended,
     log_rejected_end,
     log_rejected_report,
-    log_stopped_reporting,
 )
-from agatethread.wire.registry_pb2 import BackendRun
+from agatethread.wire.registry_pb2 import (
+    RUN_END_ADDRESS_TAKEN,
+    RUN_END_REPORTED,
+    RUN_END_STARTED_AGAIN,
+    BackendRun,
+)
 
-#: Reporting intervals without a report before a run is silent; tolerates two losses.
-_SILENT_INTERVALS = 2.5
-_SILENT_MARGIN_S = 1.0  # added, to find a control instance that answers
 #: Reporting intervals after which a run of unknown start order may use the address.
 _ADDRESS_LEASE_INTERVALS = 1.5
-_SUSPENSION_THRESHOLD_S = 1.0  # between two sweeps
 
 
 class RunTable:
@@ -56,12 +63,11 @@
 
     def __init__(self, interval_s: float, now_s: Callable[[], float]):
         self._address_lease_s = _ADDRESS_LEASE_INTERVALS * interval_s
-        self._silent_s = _SILENT_INTERVALS * interval_s + _SILENT_MARGIN_S
         self._now_s = now_s
         self._records = RunIndex()
         #: Names of the configured services; empty before the first routing table.
         self.services: frozenset[str] = frozenset()
-        self._last_sweep_s = now_s()
+        self._expiry = RunExpiry(self._records, interval_s, now_s, self._mark_changed)
         self.index = 0
         #: Index of the last change; direct reports without a change don't count.
         self.changed_index = 0
@@ -105,15 +111,17 @@
         """
         verdict = self._check_report(report)
         if verdict in (ReportVerdict.STARTS, ReportVerdict.CONTINUES):
-            verdict = self._check_service_and_start(report, verdict)
-        record = self._get_or_admit(report, verdict)
+            verdict = check_service_and_start(
+                report, verdict, self.services, self._records.most_have_start
+            )
+        record = self._get_or_admit(report, verdict, TOLD_BY_ITSELF)
         if verdict.is_refusal:
             raise ReportRefusedError(report.id, verdict.value)
         if record is None:
             return False
 
         previous_capacity = record.run.slots, record.run.warm_up_ms
-        changed = self._refresh(record, report)
+        changed = self._refresh(record, report, TOLD_BY_ITSELF)
         if not changed:
             self.index += 1
         self._records.mark_reported(record, self.index)
@@ -121,25 +129,13 @@
             record.capacity_index = self.index
         return changed
 
-    def _check_service_and_start(
-        self, report: Report, verdict: ReportVerdict
-    ) -> ReportVerdict:
-        """Return a refusal for an unknown service or start time, else the verdict."""
-        starts = verdict is ReportVerdict.STARTS
-        # Before the first routing table, every service is accepted.
-        if starts and self.services and report.service not in self.services:
-            return ReportVerdict.UNKNOWN_SERVICE
-        if report.started_ms == START_UNKNOWN and self._records.most_have_start():
-            return ReportVerdict.START_MISSING
-        return verdict
-
     def _check_report(self, report: Report) -> ReportVerdict:
-        holder = self._records.get_other_by_address(report.address, report.id)
-        number_holder = self._records.get_other_by_number(report.number, report.id)
+        records = self._records
+        number_holder = records.get_other_by_number(report.number, report.id)
         return check_report(
             report,
-            self._to_known_run(self._records.get(report.id)),
-            self._to_known_run(holder),
+            self._to_known_run(records.get(report.id)),
+            self._to_known_run(records.get_other_by_address(report.address, report.id)),
             number_holder.run if number_holder else None,
             self._address_lease_s,
         )
@@ -151,27 +147,34 @@
             else None
         )
 
-    def _get_or_admit(self, report: Report, verdict: ReportVerdict) -> RunRecord | None:
+    def _get_or_admit(
+        self, report: Report, verdict: ReportVerdict, source: bytes
+    ) -> RunRecord | None:
         """Return the record of an accepted report; else log it, and return None."""
         if verdict is ReportVerdict.CONTINUES:
             return self._records.get(report.id)
         if verdict is ReportVerdict.STARTS:
-            return self._admit(report)
+            return self._admit(report, source)
         if verdict is not ReportVerdict.OUTDATED:
             holder = self._records.get_other_by_address(report.address, report.id)
             log_rejected_report(report, verdict, holder, self._now_s())
         return None
 
-    def _admit(self, report: Report) -> RunRecord:
+    def _admit(self, report: Report, source: bytes) -> RunRecord:
         earlier = self._records.get(report.id)
         if earlier is not None and not earlier.run.ended:
-            self._end(earlier, "it started again")
+            self._end_earlier_start(earlier, source)
         holder = self._records.get_other_by_address(report.address, report.id)
         if holder is not None:
-            self._end(holder, "another run reports from its address")
+            notice = EndNotice(RUN_END_ADDRESS_TAKEN, source, report.id)
+            self._end(holder, "another run reports from its address", notice)
         return self._records.add(to_run(report))
 
-    def _refresh(self, record: RunRecord, report: Report) -> bool:
+    def _end_earlier_start(self, earlier: RunRecord, source: bytes) -> None:
+        notice = EndNotice(RUN_END_STARTED_AGAIN, source)
+        self._end(earlier, "it started again", notice)
+
+    def _refresh(self, record: RunRecord, report: Report, source: bytes) -> bool:
         run = record.run
         is_new = record.last_report_s == 0.0
         draining = run.draining or report.draining
@@ -180,6 +183,7 @@
         warm_up_increased = warm_up_ms > run.warm_up_ms
         changed = is_new or run.silent or draining != run.draining or warm_up_increased
         record.last_report_s = self._now_s()
+        record.told_by = source
         run.sequence = report.sequence
         run.slots = report.slots
         run.draining = draining
@@ -211,12 +215,13 @@
             If the request may concern an earlier run; the sender may retry elsewhere.
         """
         ended = BackendRun(id=run_id, started_ms=started_ms, ended=True)
-        changed = self._apply_end(ended, "it said so")
+        notice = EndNotice(RUN_END_REPORTED)
+        changed = self._apply_end(ended, "it said so", notice)
         if started_ms == START_UNKNOWN and not self._records.get(run_id).run.ended:
             raise ReportRefusedError(run_id, "it may be the end of an earlier run")
         return changed
 
-    def apply_peer_run(self, run: BackendRun) -> bool:
+    def apply_peer_run(self, run: BackendRun, source: bytes = TOLD_BY_ITSELF) -> bool:
         """Apply the state of a run at another control instance.
 
         Ignores a silent state unless its start time is later than the stored one.
@@ -225,6 +230,8 @@
         ----------
         run : BackendRun
             State of the run there.
+        source : bytes, optional
+            Packed address of the other instance.
 
         Returns
         -------
@@ -232,21 +239,28 @@
             Whether the change has to be sent to entry instances.
         """
         if run.ended:
-            return self._apply_end(run, "another control instance says so")
+            notice = EndNotice(run.end, source)
+            return self._apply_end(run, "another control instance says so", notice)
         stored = self._records.get(run.id)
         if run.silent and (stored is None or run.started_ms <= stored.run.started_ms):
             # The run may still report here, unless the other instance has a later one.
             return False
+        if run.restored:
+            source = TOLD_BY_DISK
         report = to_report(run)
-        record = self._get_or_admit(report, self._check_report(report))
+        record = self._get_or_admit(report, self._check_report(report), source)
         if record is None:
             return False
-        changed = self._refresh(record, report)
+        changed = self._refresh(record, report, source)
         record.run.silent = run.silent
         return changed
 
     def apply_numbered_report(
-        self, number: int, sequence: int, start_times: Mapping[str, int]
+        self,
+        number: int,
+        sequence: int,
+        start_times: Mapping[str, int],
+        source: bytes = TOLD_BY_ITSELF,
     ) -> bool:
         """Apply a report that another control instance sent by run number.
 
@@ -258,6 +272,8 @@
             Sequence of the report.
         start_times : mapping of str to int
             Start times by id of the live runs that the other instance sent in full.
+        source : bytes, optional
+            Packed address of the other instance.
 
         Returns
         -------
@@ -268,43 +284,50 @@
         if record is None or record.run.id not in start_times:
             return False
         started_ms, now_s = start_times[record.run.id], self._now_s()
-        if (
-            not refresh_by_number(record, sequence, started_ms, now_s)
-            or not record.run.silent
-        ):
+        if not refresh_by_number(record, sequence, started_ms, now_s):
+            return False
+        record.told_by = source
+        if not record.run.silent:
             return False
         record.run.silent = False
         self._mark_changed(record)
         return True
 
-    def _apply_end(self, ended: BackendRun, reason: str) -> bool:
+    def _apply_end(self, ended: BackendRun, reason: str, notice: EndNotice) -> bool:
         record = self._records.get(ended.id)
         if record is None or record.run.started_ms < ended.started_ms:
-            return self._store_end_of_later_start(record, ended, reason)
+            return self._store_end_of_later_start(record, ended, reason, notice)
         if record.run.ended:
             return False
         if not end_applies_to(record.run, ended.started_ms):
             log_rejected_end(record.run, ended.started_ms)
             return False
         record.run.draining |= ended.draining
-        self._end(record, reason)
+        self._end(record, reason, notice)
         return True
 
     def _store_end_of_later_start(
-        self, earlier: RunRecord | None, ended: BackendRun, reason: str
+        self,
+        earlier: RunRecord | None,
+        ended: BackendRun,
+        reason: str,
+        notice: EndNotice,
     ) -> bool:
         if earlier is not None and not earlier.run.ended:
-            self._end(earlier, "it started again")
-        self._end(self._records.add(ended), reason)
+            self._end_earlier_start(earlier, notice.told_by)
+        self._end(self._records.add(ended), reason, notice)
         return True
 
-    def _end(self, record: RunRecord, reason: str) -> None:
+    def _end(self, record: RunRecord, reason: str, notice: EndNotice) -> None:
         run = record.run
+        log_ended(record, reason, notice, self._now_s())
+        if record.last_report_s:
+            store_report_age(run, self._now_s() - record.last_report_s)
         run.ended = True
+        run.end = notice.kind
         record.last_report_s = self._now_s()
         self._records.release_address(record)
         self._mark_changed(record)
-        log_ended(run, reason)
 
     def _mark_changed(self, record: RunRecord) -> None:
         self.index += 1
@@ -322,6 +345,7 @@
         for run in runs:
             record = self._records.add(run)
             record.last_report_s = self._now_s()
+            record.told_by = TOLD_BY_DISK
             self._mark_changed(record)
 
     def snapshot(self) -> list[BackendRun]:
@@ -332,36 +356,11 @@
         list of BackendRun
             Copies in no particular order.
         """
-        runs = []
-        for record in self._records:
-            run = BackendRun()
-            run.CopyFrom(record.run)
-            runs.append(run)
-        return runs
+        return [copy_run(record.run) for record in self._records]
 
     def sweep(self) -> None:
         """Mark runs without reports as silent; delete runs that ended long ago."""
-        now_s = self._now_s()
-        was_suspended = now_s - self._last_sweep_s > _SUSPENSION_THRESHOLD_S
-        self._last_sweep_s = now_s
-        for record in self._records:
-            if was_suspended and not record.run.ended:
-                # Reports sent while this process was suspended were lost.
-                record.last_report_s = now_s
-            self._sweep_entry(record, now_s)
-
-    def _sweep_entry(self, record: RunRecord, now_s: float) -> None:
-        run = record.run
-        age_s = now_s - record.last_report_s
-        if run.ended:
-            if age_s > RUN_RETENTION_S:
-                self._records.remove(record)
-            return
-        if run.silent or age_s <= self._silent_s:
-            return
-        run.silent = True
-        self._mark_changed(record)
-        log_stopped_reporting(run, age_s)
+        self._expiry.sweep()
 
     def can_send_by_number(self, run_id: str, after_index: int) -> bool:
         """Return whether a report may be sent by run number after an index."""
@@ -385,7 +384,9 @@
         tuple of (int, BackendRun)
             Index of the change, and the current state of the run.
         """
+        now_s = self._now_s()
         for record in self._records.list_changed_after(index, with_reports):
+            record_evidence(record, now_s, self._address_lease_s)
             yield last_index(record, with_reports), record.run
 
     def dump(self) -> list[dict[str, object]]:
@@ -396,5 +397,4 @@
         list of dict
             JSON-compatible fields.
         """
-        now_s = self._now_s()
-        return [describe(record, now_s) for record in self._records]
+        return [describe(record, self._now_s()) for record in self._records]
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -47,7 +47,10 @@
 Send = Callable[[RegistryMessage, bytes], None]
 
 
-def _ignore_report(number: int, sequence: int, start_times: Mapping[str, int]) -> None:
+OnNumberedReport = Callable[[int, int, Mapping[str, int], bytes], None]
+
+
+def _ignore_report(*_: object) -> None:
     """Default of `Subscription.on_numbered_report`, for entry instances."""
 
 
@@ -69,7 +72,7 @@
     now_s : callable
         Monotonic clock.
     on_run : callable
-        Called with each run that changed.
+        Called with each run that changed, and the packed address of the sender.
     on_routes : callable
         Called with each newer routing table.
     counters : Counters
@@ -87,7 +90,7 @@
         own_address: bytes,
         send: Send,
         now_s: Callable[[], float],
-        on_run: Callable[[BackendRun], None],
+        on_run: Callable[[BackendRun, bytes], None],
         on_routes: Callable[[RoutingTable], None],
         counters: Counters,
         evacuations: EvacuationReceiver | EvacuationPublisher | None = None,
@@ -107,11 +110,9 @@
         self.routes_version = 0
         #: Control instance that sends routing tables; None while all followed may.
         self._routes_source: ControlLink | None = None
-        #: Called for each report sent by run number, with number, sequence and the
-        #: start times known to the sender; control instances receive these.
-        self.on_numbered_report: Callable[[int, int, Mapping[str, int]], None] = (
-            _ignore_report
-        )
+        #: Called for each report sent by run number, with number, sequence, the start
+        #: times known to the sender and its address; control instances receive these.
+        self.on_numbered_report: OnNumberedReport = _ignore_report
         self.links: dict[bytes, ControlLink] = {}
         self._own_domain_selector = OwnDomainSelector(failure_domain, now_s)
         self._followed: list[ControlLink] = []
@@ -288,7 +289,7 @@
         for run in delta.runs:
             self._receive_run(link, run)
         for number, sequence in zip(delta.reporting, delta.sequences, strict=False):
-            self.on_numbered_report(number, sequence, link.live_starts)
+            self.on_numbered_report(number, sequence, link.live_starts, source)
         if link.advance(delta):
             self._acknowledge(link)
         if delta.complete and not link.is_unfollowed:
@@ -305,7 +306,7 @@
             link.live_starts.pop(run.id, None)
         else:
             link.live_starts[run.id] = run.started_ms
-        self._on_run(run)
+        self._on_run(run, link.address)
 
     def on_chunk(self, chunk: RoutesChunk, source: bytes) -> None:
         """Store a part of a routing table; pass the table on when it is complete.
--- a/tests/cli/test_explanation.py
+++ b/tests/cli/test_explanation.py
@@ -4,8 +4,9 @@
 from pathlib import Path
 
 from agatethread.cli import run_ctl
-from agatethread.cli._explanation import Explanation, explain, read_logs
+from agatethread.cli._explanation import Explanation, explain
 from agatethread.cli._explanation_text import format_explanation, group_lines
+from agatethread.cli._log_lines import read_logs
 from agatethread.observability import Event
 from tests.cli.test_commands import CommandCase, run
 
@@ -46,6 +47,65 @@
         self.assertEqual(explanation.deciding.instance, "core-1")
         self.assertIn("i-1 had ended (it said so)", explanation.cause)
 
+    def test_reset_tells_who_found_the_end_and_from_what(self):
+        """The finder's line has precedence; the cause names evidence and its age."""
+        explanation = explain_lines(
+            placed(1.0),
+            line(
+                2.0,
+                Event.BACKEND_ENDED,
+                "core-2",
+                run="i-1",
+                why="another control instance says so",
+                told_by="10.0.0.1:7241",
+            ),
+            line(
+                2.1,
+                Event.BACKEND_ENDED,
+                "core-1",
+                run="i-1",
+                why="another run reports from its address",
+                told_by="itself",
+                other_run="i-2",
+                last_report_ago_s=1.9,
+                last_report_by="disk",
+            ),
+            reset(
+                2.5,
+                "backend_ended",
+                run="i-1",
+                run_known_from="opening",
+                last_packet_ago_s=3.2,
+            ),
+        )
+        self.assertEqual(explanation.deciding.instance, "core-1")
+        for part in ("i-2", "1.9 s before, by disk", "opening, 3.2 s before"):
+            self.assertIn(part, explanation.cause)
+
+    def test_reset_for_silence_tells_what_the_instance_saw(self):
+        """The verdict of the resetting instance is deciding, not that of another."""
+        verdict = {"run": "i-1", "silent_s": 0.8}
+        explanation = explain_lines(
+            placed(1.0),
+            line(2.3, Event.BACKEND_UNREACHABLE, **verdict),
+            line(2.4, Event.BACKEND_UNREACHABLE, "edge-2", **verdict),
+            reset(
+                2.5,
+                "backend_unreachable",
+                run="i-1",
+                run_known_from="earlier packet",
+                last_packet_ago_s=1.5,
+                silent_s=0.8,
+                flows_waiting=3,
+                observers=0,
+                answered_by="i-2",
+                last_report_ago_s=0.4,
+            ),
+        )
+        self.assertEqual(explanation.deciding.time_s, explanation.lines[0].time_s + 1.3)
+        for part in ("0.8 s", "3 flows waiting here", "i-2 answers", "earlier packet"):
+            self.assertIn(part, explanation.cause)
+
     def test_reset_is_explained_by_refusal_of_dispatcher(self):
         """The dispatcher's line tells a refusal at once from one after a wait."""
         for waited_s, cause in (
--- a/tests/datapath/test_departure.py
+++ b/tests/datapath/test_departure.py
@@ -75,7 +75,7 @@
             self.address,
             lambda message, _: case.hub.on_poll(message.poll, self.address),
             case.clock,
-            lambda _: None,
+            lambda *_: None,
             lambda _: None,
             Counters(),
         )
--- a/tests/registry/test_busy_control.py
+++ b/tests/registry/test_busy_control.py
@@ -47,7 +47,7 @@
                 place,
                 lambda message, _, place=place: self.inbox.append((message, place)),
                 self.clock,
-                lambda run: None,
+                lambda *_: None,
                 lambda table: None,
                 Counters(),
             )
--- a/tests/registry/worlds.py
+++ b/tests/registry/worlds.py
@@ -56,7 +56,7 @@
             self.entry_address,
             self.sender(self.entry_address),
             self.clock,
-            self.runs.append,
+            lambda run, _: self.runs.append(run),
             self.received_tables.append,
             Counters(),
             EvacuationReceiver(self.evacuated.append),
