--- a/soak/backend.py
+++ b/soak/backend.py
@@ -1,6 +1,7 @@
 """Simulates a backend server: sends status reports, serves flows, stops or crashes."""
 
 import asyncio
+import random
 import secrets
 import time
 from collections.abc import Callable, Mapping
@@ -27,6 +28,13 @@
 #: Time after an acknowledged evacuation within which new flows may still arrive.
 EVACUATION_LIMIT_S = 2.0
 
+#: Time that a request takes, and the share of requests that begin a pause of the
+#: server, in which it answers nobody.
+_MEAN_WORK_S = 0.02
+_MAX_WORK_S = 0.14
+_PAUSE_PROBABILITY = 0.01
+_MAX_PAUSE_S = 0.45
+
 FlowKey = tuple[tuple[int, int], tuple[int, int]]
 
 
@@ -49,6 +57,8 @@
         Time at which an evacuation was acknowledged, by failure domain.
     promises : PromiseMonitor
         Records breaches.
+    reports_start : bool, optional
+        Whether its reports contain the start time of the run.
     """
 
     def __init__(
@@ -60,8 +70,9 @@
         is_allowed: Callable[[str, tuple[int, int]], bool],
         evacuated_s: Mapping[str, float],
         promises: PromiseMonitor,
+        reports_start: bool = True,
     ):
-        self.number = number
+        self.number = self._address_number = number
         self.failure_domain = f"domain-{number % 3}"
         self._evacuated_s = evacuated_s
         self.service = service
@@ -75,15 +86,41 @@
         self.run_id = ""
         self._sequence = 0
         self._started_ms = 0
+        self._reports_start = reports_start
+        self._random = random.Random(number)
+        #: Time until which a short pause of the server lasts.
+        self._paused_until_s = 0.0
+        self._listener: asyncio.Server | None = None
         self.alive = False
+        #: Whether the end of the run was reported.
+        self.is_ending = False
         self.draining = False
         self.drain_acknowledged_s = float("inf")
         self.started_s = 0.0
         self.opened_flow_count = 0
 
+    @property
+    def name(self) -> str:
+        """Return the name of the server."""
+        return f"server-{self.number}"
+
+    @property
+    def host(self) -> str:
+        """Return the address of the server."""
+        return self._addresses.server(self._address_number)
+
+    def swap_address(self, other: "BackendServer") -> None:
+        """Exchange the addresses of two servers that are down."""
+        numbers = other._address_number, self._address_number
+        self._address_number, other._address_number = numbers
+
     @property
     def _address(self) -> str:
-        return f"{self._addresses.server(self.number)}:{self._addresses.servers}"
+        return f"{self.host}:{self._addresses.servers}"
+
+    def serves_since(self, time_s: float) -> bool:
+        """Return whether the present run is live and had started by some time."""
+        return self.alive and not self.is_ending and self.started_s <= time_s
 
     async def start(self, keep_id: bool = False) -> None:
         """Start a new run with a new id, or with the previous one."""
@@ -91,9 +128,12 @@
             self.run_id = f"i-{secrets.token_hex(5)}"
         self._sequence = 0
         self._started_ms = max(self._started_ms + 1, time.time_ns() // 1_000_000)
-        self.draining = False
+        self.draining = self.is_ending = False
         self.drain_acknowledged_s = float("inf")
         self._flows.clear()
+        self._listener = await asyncio.start_server(
+            lambda _, writer: writer.close(), *parse_address(self._address)
+        )
         self._transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self, local_addr=parse_address(self._address)
         )
@@ -108,6 +148,7 @@
         self.alive = False
         self._report_task.cancel()
         self._transport.close()
+        self._listener.close()
 
     async def drain_and_stop(self, linger_s: float) -> None:
         """Drain, keep serving for some time, report the end of the run and stop."""
@@ -118,6 +159,7 @@
                 break
             await asyncio.sleep(0.3)
         await asyncio.sleep(DRAIN_LIMIT_S + linger_s)
+        self.is_ending = True
         for address in self._control_addresses():
             path = f"/api/endpoints/{self.run_id}"
             if (await call(address, "DELETE", path)).status // 100 == 2:
@@ -130,7 +172,7 @@
             await asyncio.sleep(REPORT_INTERVAL_S)
 
     def _make_status(self, warm_up_s: float) -> dict[str, object]:
-        return {
+        status = {
             "service": self.service,
             "address": self._address,
             "zone": self.failure_domain,
@@ -139,8 +181,8 @@
             "state": "draining" if self.draining else "ready",
             "warmup_remaining_ms": int(warm_up_s * 1000),
             "sequence": self._sequence,
-            "born": self._started_ms,
         }
+        return status | ({"born": self._started_ms} if self._reports_start else {})
 
     async def send_invalid_report(self, **fields: object) -> None:
         """Send an invalid report with this server's id and check its rejection."""
@@ -215,6 +257,22 @@
             return
         if segment.payload:
             payload = segment.payload + f" {self.service} {self.run_id}".encode()
+            delay_s = self._draw_work_s()
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._answer, segment, payload, self.started_s)
+
+    def _draw_work_s(self) -> float:
+        """Return the time until an answer; a sound server pauses now and then."""
+        now_s = self._promises.now_s()
+        is_paused = now_s < self._paused_until_s
+        if not is_paused and self._random.random() < _PAUSE_PROBABILITY:
+            self._paused_until_s = now_s + self._random.uniform(0.2, _MAX_PAUSE_S)
+        work_s = min(self._random.expovariate(1 / _MEAN_WORK_S), _MAX_WORK_S)
+        return max(self._paused_until_s - now_s, 0.0) + work_s
+
+    def _answer(self, segment: Segment, payload: bytes, started_s: float) -> None:
+        """Send an answer unless the run has ended meanwhile."""
+        if self.alive and self.started_s == started_s:
             self._send(segment, ACK, payload)
 
     def _send(self, segment: Segment, flags: int, payload: bytes) -> None:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,19 +7,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from soak.addresses import Addresses
+from soak.addresses import Addresses, parse_number
 from soak.backend import BackendServer
 from soak.fleet import Fleet
+from soak.flows import Flow, Target
 from soak.promise_monitor import PromiseMonitor
-from soak.wire import ACK, FIN, RST, SYN, Segment, call, decode, encode, host_number
+from soak.wire import RST, Segment, call, decode, encode, host_number
 
-#: Retry delays, timeout and probes of the platform's callers and routers.
-_RETRY_DELAYS_S = (0.2, 0.4, 0.8)
-_TIMEOUT_S = 1.5
+#: Probes of the platform's routers.
 _PROBE_INTERVAL_S = 0.25
 _MAX_FAILED_PROBES = 2
-
-Target = tuple[int, int]
+#: Flows that a caller keeps open beside its others, requests on each, and the longest
+#: pause between two.
+_KEPT_FLOW_COUNT = 8
+_KEPT_REQUEST_COUNT = 40
+_MAX_KEPT_PAUSE_S = 2.5
 
 
 class Router:
@@ -54,6 +56,11 @@
             0 if reply.status == 200 else self._failed_probes[number] + 1
         )
 
+    def name_of(self, number: int) -> str:
+        """Return the name of an instance."""
+        machine = self._fleet.machines.get(number)
+        return machine.name if machine else str(number)
+
     def in_rotation(self) -> list[int]:
         """Return the numbers of the instances that receive packets."""
         ready = [
@@ -130,13 +137,13 @@
         self._tally = tally
         self._random = random.Random(number)
         self._local_ports = itertools.cycle(range(1_024, 60_000))
-        self._flow_queues: dict[tuple[Target, Target], asyncio.Queue[Segment]] = {}
+        self._flows: dict[tuple[Target, Target], Flow] = {}
         #: Instances of flows that bypass the router, by the source of the flow.
         self._pinned_instances: dict[Target, int] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
     async def run(self) -> None:
-        """Send requests until cancelled."""
+        """Send requests on short and on kept flows until cancelled."""
         self._transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self,
             local_addr=(
@@ -145,25 +152,49 @@
             ),
         )
         try:
-            while True:
-                targets = list(self._targets().items())
-                target, service = self._random.choice(targets)
-                is_long = self._random.random() < 0.5
-                await self._run_flow(target, service, 12 if is_long else 1)
+            kept = (self._keep_flows(index) for index in range(_KEPT_FLOW_COUNT))
+            await asyncio.gather(self._run_flows(), *kept)
         finally:
             self._transport.close()
 
+    async def _run_flows(self) -> None:
+        while True:
+            targets = list(self._targets().items())
+            target, service = self._random.choice(targets)
+            is_long = self._random.random() < 0.5
+            await self._run_flow(target, service, 12 if is_long else 1, 0.4)
+
+    async def _keep_flows(self, index: int) -> None:
+        """Keep a flow open with pauses; half of them acknowledge answers late."""
+        # Not the caller's generator, whose use determines the other flows.
+        generator = random.Random(f"kept {self._number} {index}")
+        while True:
+            target, service = generator.choice(list(self._targets().items()))
+            await self._run_flow(
+                target, service, _KEPT_REQUEST_COUNT, _MAX_KEPT_PAUSE_S, index % 2 == 0
+            )
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Pass a packet to its flow."""
+        """Pass a packet to its flow, and check a reset."""
         segment = decode(data)
-        queue = self._flow_queues.get((segment.target, segment.source))
-        if queue is not None:
-            queue.put_nowait(segment)
-
-    async def _run_flow(self, target: Target, service: str, request_count: int) -> None:
+        flow = self._flows.get((segment.target, segment.source))
+        if flow is None:
+            return
+        if segment.flags & RST:
+            self._check_reset(flow, addr[0])
+        flow.received.put_nowait(segment)
+
+    async def _run_flow(
+        self,
+        target: Target,
+        service: str,
+        request_count: int,
+        max_pause_s: float,
+        acknowledges_late: bool = False,
+    ) -> None:
         source = (self._host, next(self._local_ports))
-        flow = _Flow(self, source, target)
-        self._flow_queues[source, target] = flow.received
+        flow = Flow(source, target, self.transmit, acknowledges_late)
+        self._flows[source, target] = flow
         started_s = self._promises.now_s()
         try:
             opened = await flow.open()
@@ -176,125 +207,65 @@
                 self._tally.record(started_s, is_served)
                 if not is_served:
                     return
-                await asyncio.sleep(self._random.uniform(0.05, 0.4))
-            flow.send(FIN | ACK, b"")
+                await asyncio.sleep(self._random.uniform(0.05, max_pause_s))
+            flow.close()
         finally:
-            del self._flow_queues[source, target]
+            del self._flows[source, target]
             await asyncio.sleep(0.05)
 
-    async def _request(self, flow: "_Flow", service: str, number: int) -> bool:
+    async def _request(self, flow: Flow, service: str, number: int) -> bool:
         payload = f"request {flow.source[1]} {number}".encode()
         answer = await flow.request(payload)
         if answer is None:
             return False
         if answer.flags & RST:
-            self._check_reset(flow)
             return False
         text = answer.payload.decode()
         if not text.startswith(f"{payload.decode()} {service} "):
             self._promises.record_breach("the answer is the request's own", text)
             return False
         flow.run_id = text.rpartition(" ")[2]
+        flow.run_known_s = flow.run_known_s or self._promises.now_s()
         return True
 
-    def _check_reset(self, flow: "_Flow") -> None:
+    def _check_reset(self, flow: Flow, sender: str) -> None:
+        """Record a breach if a reset ends a flow whose run is sound.
+
+        Counts unless the run, the instance that took the last packet or the sender was
+        disturbed; the run itself may reset its flows.
+        """
         server = self._find_run(flow.run_id) if flow.run_id else None
-        is_alive = server is not None and server.alive
-        is_routed = flow.target in self._targets()
-        if is_alive and is_routed and self._promises.is_calm():
-            detail = f"{flow.source} to {flow.run_id}"
+        if server is None or not server.serves_since(flow.run_known_s):
+            return
+        if sender == server.host or flow.target not in self._targets():
+            return
+        machine = self._router.name_of(parse_number(sender))
+        parties = (server.name, self._router.name_of(flow.instance), machine)
+        if self._promises.are_undisturbed(parties):
+            caller = f"{'.'.join(map(str, self._host.to_bytes(4)))}:{flow.source[1]}"
+            detail = (
+                f"{caller} at {flow.run_id}, last packet and reset by {parties[1:]}"
+            )
             self._promises.record_breach("an open flow to a live run stays up", detail)
 
     async def can_open_through(self, number: int, target: Target) -> bool:
         """Return whether a flow to a destination can be opened through an instance."""
         source = (self._host, next(self._local_ports))
-        flow = _Flow(self, source, target)
-        self._flow_queues[source, target] = flow.received
+        flow = Flow(source, target, self.transmit)
+        self._flows[source, target] = flow
         self._pinned_instances[source] = number
         try:
             opened = await flow.open()
-            flow.send(FIN | ACK, b"")
+            flow.close()
             return opened
         finally:
-            del self._flow_queues[source, target], self._pinned_instances[source]
+            del self._flows[source, target], self._pinned_instances[source]
 
-    def transmit(self, segment: Segment) -> None:
-        """Send a packet through the instance that the router currently selects."""
+    def transmit(self, segment: Segment) -> int:
+        """Send a packet through the instance that the router selects; return it."""
         number = self._pinned_instances.get(segment.source) or self._router.select(
             segment.source, segment.target
         )
         address = (self._addresses.advertised(number), self._addresses.datagrams)
         self._transport.sendto(encode(segment), address)
-
-
-class _Flow:
-    """A flow of a caller."""
-
-    def __init__(self, caller: Caller, source: Target, target: Target):
-        self._caller = caller
-        self.source = source
-        self.target = target
-        self.received: asyncio.Queue[Segment] = asyncio.Queue()
-        self.run_id = ""
-        self._label = 0
-        self._sequence = 1
-        self._acknowledged = 0
-
-    async def open(self) -> bool:
-        answer = await self._exchange(SYN, b"")
-        if answer is None or answer.flags & RST:
-            return False
-        self._sequence += 1
-        self.send(ACK, b"")
-        return True
-
-    async def request(self, payload: bytes) -> Segment | None:
-        answer = await self._exchange(ACK, payload)
-        if answer is not None and not answer.flags & RST:
-            self._sequence += len(payload)
-            self._acknowledged += len(answer.payload)
-            self.send(ACK, b"")
-        return answer
-
-    async def _exchange(self, flags: int, payload: bytes) -> Segment | None:
-        """Send and retry until a matching reply arrives or the timeout expires."""
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + _TIMEOUT_S
-        delays_s = iter((*_RETRY_DELAYS_S, _TIMEOUT_S))
-        for copy in itertools.count():
-            self.send(flags, payload, copy)
-            retry_at_s = min(deadline_s, loop.time() + next(delays_s))
-            while (remaining_s := retry_at_s - loop.time()) > 0:
-                try:
-                    answer = await asyncio.wait_for(self.received.get(), remaining_s)
-                except TimeoutError:
-                    break
-                if self._is_reply(answer, flags, payload):
-                    self._label = answer.label
-                    return answer
-            if loop.time() >= deadline_s:
-                return None
-        return None
-
-    @staticmethod
-    def _is_reply(answer: Segment, flags: int, payload: bytes) -> bool:
-        if answer.flags & RST:
-            return True
-        if flags & SYN:
-            return bool(answer.flags & SYN)
-        # Ignores late replies to earlier requests.
-        return answer.payload.startswith(payload + b" ")
-
-    def send(self, flags: int, payload: bytes, copy: int = 0) -> None:
-        acknowledged = copy if flags & SYN else self._acknowledged
-        self._caller.transmit(
-            Segment(
-                0 if flags & SYN else self._label,
-                self.source,
-                self.target,
-                flags,
-                self._sequence,
-                acknowledged,
-                payload,
-            )
-        )
+        return number
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -202,6 +202,17 @@
             machine.is_frozen = True
         machine.process.send_signal(signal_number)
 
+    def resume(self, machine: Machine) -> None:
+        """Let a suspended process run on."""
+        if machine.process is not None and machine.process.poll() is None:
+            machine.process.send_signal(signal.SIGCONT)
+        machine.is_frozen = False
+
+    def start_if_down(self, machine: Machine) -> None:
+        """Start the process of a machine unless it runs."""
+        if machine.process is None:
+            self.start(machine)
+
     def limit_disk(self, machine: Machine, limit_bytes: int) -> None:
         """Limit the file size of a process, which simulates a full disk."""
         pid = self.find_pid(machine.number)
--- a/soak/run.py
+++ b/soak/run.py
@@ -68,6 +68,7 @@
 
     def __init__(self, folder: Path, seed: int, size: RunSize, sources: Path):
         self._random = random.Random(seed)
+        self._movement_random = random.Random(f"movement series {seed}")
         self._size = size
         self.report = Report(seed)
         self.promises = PromiseMonitor()
@@ -82,6 +83,7 @@
         )
         self.mesh = Mesh(addresses, seed, self.fleet.find_pid)
         self.operator = Operator(self._control_addresses, self.promises, seed)
+        reports_start = random.Random(f"starts {seed}").random() < 0.5
         self.servers = [
             BackendServer(
                 number,
@@ -91,6 +93,7 @@
                 self.operator.can_route,
                 self.operator.evacuated_s,
                 self.promises,
+                reports_start,
             )
             for number in range(1, size.server_count + 1)
         ]
@@ -183,6 +186,7 @@
         domain, *_ = await asyncio.gather(
             self.faults.evacuate(),
             *fault_series,
+            self._run_movements(),
             self._send_changes(),
             self.faults.send_invalid_reports(),
         )
@@ -196,6 +200,12 @@
             await self.faults.inject_random()
             await asyncio.sleep(self._random.choice((0.0, 0.2, 1.0)))
 
+    async def _run_movements(self) -> None:
+        # A generator of its own leaves the sequence of the other faults as it is.
+        for _ in range(self._movement_random.choice((1, 2, 3))):
+            await asyncio.sleep(self._movement_random.uniform(0.0, 2.0))
+            await self.faults.inject_movement()
+
     async def _send_changes(self) -> None:
         for _ in range(self._random.choice((1, 2, 4))):
             await self.operator.change()
--- /dev/null
+++ b/tests/datapath/test_open_flows.py
@@ -0,0 +1,96 @@
+from dataclasses import replace
+
+from agatethread.datapath import derive_label
+from agatethread.routing import RouteTable
+from tests.datapath.fixtures import ForwarderCase, opening, packet, run, table
+
+
+class TestFlowsOfSoundRuns(ForwarderCase):
+    """Open flows whose run is sound are not reset, whatever this instance sees."""
+
+    def setUp(self):
+        super().setUp()
+        routes = {
+            place: replace(route, idempotent=True)
+            for place, route in table().routes.items()
+        }
+        self.forwarder.apply_table(RouteTable(2, routes))
+        for number in (1, 2):
+            self.view.update_run(run(number))
+
+    def open_flows(self, number, ports):
+        for port in ports:
+            self.handle(packet(port, number=number))
+
+    def ask(self, number, ports):
+        for port in ports:
+            self.handle(packet(port, number=number, payload_bytes=10))
+
+    def answer(self, port, number, acknowledged):
+        """Handle the acknowledgement of an answer."""
+        self.handle(packet(port, number=number, acknowledged=acknowledged))
+
+    def reset_ports(self):
+        """Return the ports of the flows that the timer resets."""
+        self.sent.clear()
+        self.forwarder.reset_flows_of_lost_runs()
+        return [data[1] for data, _ in self.sent if data[0] == "reset"]
+
+    def test_run_whose_answers_pass_another_instance_keeps_its_flows(self):
+        """Flows moved there while they waited, as this instance left the rotation."""
+        self.open_flows(1, range(1, 6))
+        self.open_flows(2, [10])
+        self.clock.value_s += 0.1
+        self.ask(1, (1, 2, 3))
+        self.clock.value_s += 0.2
+        self.ask(1, (1, 2, 3))
+        resets = []
+        for step in range(20):
+            self.clock.value_s += 0.1
+            self.answer(10, 2, 1_000 + step)
+            resets += self.reset_ports()
+        self.assertEqual(resets, [])
+
+    def test_run_with_unacknowledged_answers_keeps_its_flows(self):
+        """A caller may acknowledge a short answer with its next request only."""
+        self.open_flows(1, range(1, 6))
+        self.open_flows(2, [10])
+        self.clock.value_s += 0.1
+        self.ask(1, (1, 2, 3))
+        self.clock.value_s += 0.2
+        # The run was slow once; it answers after the first retransmission.
+        self.ask(1, (1, 2, 3))
+        resets = []
+        for step in range(9):
+            self.clock.value_s += 0.1
+            self.answer(10, 2, 1_000 + step)
+            resets += self.reset_ports()
+        self.assertEqual(resets, [])
+
+    def test_late_copy_of_an_opening_leaves_the_flow_at_its_run(self):
+        """The end of the run that only got the copy resets nothing."""
+        self.open_flows(1, [7])
+        self.ask(1, [7])
+        self.forwarder.loads.record_opening(
+            packet(8).key, self.view.get_by_label(derive_label(1)), self.clock()
+        )
+        self.clock.value_s += 0.2
+        sent = self.handle(opening(7, copy=1))
+        self.assertEqual(sent, [("forward", 1)])
+        self.view.update_run(run(2, ended=True))
+        self.assertEqual(self.reset_ports(), [])
+
+    def test_copy_of_an_opening_is_not_refused_while_the_flow_is_open(self):
+        """The run of the flow may still answer although it takes no new flows."""
+        self.open_flows(1, [7])
+        for number in (1, 2):
+            self.view.update_run(run(number, draining=True, sequence=2))
+        self.assertEqual(self.handle(opening(7, copy=2)), [("forward", 1)])
+
+    def test_opening_from_a_reused_port_is_another_flow(self):
+        """The record of the former flow does not make the new one count as open."""
+        self.open_flows(1, [7])
+        self.view.update_run(run(1, draining=True, sequence=2))
+        self.assertEqual(self.handle(opening(7)), [("forward", 2)])
+        self.view.update_run(run(2, ended=True))
+        self.assertEqual(self.reset_ports(), [])
--- /dev/null
+++ b/tests/registry/test_address_conflicts.py
@@ -0,0 +1,80 @@
+import unittest
+
+from agatethread.registry import RunTable
+from tests.fakes import Clock, address
+from tests.registry.test_runs import INTERVAL_S, report
+
+#: Longer than the holder of an address keeps it without a report.
+LONG_S = 1.6 * INTERVAL_S
+PEER = address(90)
+
+
+class TestRunsWithoutStartTimes(unittest.TestCase):
+    """Two runs that reported from one address, in an order that nothing tells.
+
+    Run i-1 came first and has ended; i-2 is live at the address.
+    """
+
+    def setUp(self):
+        self.clock = Clock()
+        self.table = RunTable(INTERVAL_S, self.clock)
+        self.peer = RunTable(INTERVAL_S, self.clock)
+
+    def tell(self):
+        """Send the full state of the peer to the table."""
+        for _, run in self.peer.changes_after(0, with_reports=True):
+            self.table.apply_peer_run(run, PEER)
+
+    def is_ended(self, number):
+        return self.table.get(f"i-{number}").ended
+
+    def test_older_memory_of_a_peer_does_not_end_a_live_run(self):
+        """Both instances restart, one with a file from before the address changed."""
+        old, new = (RunTable(INTERVAL_S, self.clock) for _ in range(2))
+        old.report(report(number=1))
+        new.report(report(number=2, sequence=7))
+        self.peer.restore(old.snapshot())
+        self.table.restore(new.snapshot())
+        self.clock.value_s += LONG_S
+        self.tell()
+        self.assertFalse(self.is_ended(2))
+        self.table.report(report(number=2, sequence=8))
+        self.assertFalse(self.is_ended(2))
+
+    def test_older_report_of_a_peer_does_not_end_a_live_run(self):
+        """An instance that was cut off tells of the run that it heard last."""
+        self.peer.report(report(number=1))
+        self.clock.value_s += INTERVAL_S
+        self.table.report(report(number=2))
+        self.clock.value_s += LONG_S
+        self.tell()
+        self.assertFalse(self.is_ended(2))
+
+    def test_newer_report_of_a_peer_takes_the_address(self):
+        """The holder was last heard of before the other run, and is gone."""
+        self.table.report(report(number=1))
+        self.clock.value_s += LONG_S
+        self.peer.report(report(number=2))
+        self.tell()
+        self.assertTrue(self.is_ended(1))
+        self.assertFalse(self.is_ended(2))
+
+    def test_run_that_reports_after_its_address_was_taken_is_live_again(self):
+        """A late report of the former run arrived while reports were lost."""
+        self.table.report(report(number=2, sequence=5))
+        self.clock.value_s += LONG_S
+        self.table.report(report(number=1, sequence=40))
+        self.assertTrue(self.is_ended(2))
+        for sequence in range(6, 10):
+            self.clock.value_s += INTERVAL_S
+            self.table.report(report(number=2, sequence=sequence))
+        self.assertFalse(self.is_ended(2))
+        self.assertTrue(self.is_ended(1))
+
+    def test_run_that_reported_its_end_stays_ended(self):
+        """Only an end that was concluded from the address is taken back."""
+        self.table.report(report(number=2, sequence=5, draining=True))
+        self.table.end_run("i-2")
+        self.clock.value_s += LONG_S
+        self.table.report(report(number=2, sequence=6))
+        self.assertTrue(self.is_ended(2))
