--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -1,7 +1,6 @@
 """State of one run of a backend server at an entry instance."""
 
-from dataclasses import dataclass
-
+from agatethread.datapath._evidence import ProbeOutcome, UnreachableVerdict
 from agatethread.datapath._packets import FlowKey
 from agatethread.observability import Event, make_logger
 from agatethread.registry import derive_label
@@ -24,36 +23,17 @@
 #: Longer than the time within which callers retransmit a packet.
 _UNREACHABLE_VALID_S = 2.0
 _MAX_WAITING_FLOWS = 64
+#: Time of an event that has not happened.
+_NEVER_S = float("-inf")
+#: Age up to which a failed connection shows that a run can't be reached.
+_PROBE_VALID_S = 1.0
+#: Time from an accepted and from a failed connection to the next one.
+_ACCEPTED_PROBE_INTERVAL_S = 0.5
+_FAILED_PROBE_INTERVAL_S = 0.2
 
 log = make_logger("backends")
 
 
-@dataclass(frozen=True, slots=True)
-class UnreachableVerdict:
-    """The evidence on which a run was found unreachable.
-
-    Attributes
-    ----------
-    at_s : float
-        Time of the verdict.
-    silent_s : float
-        Time for which the run answered nobody.
-    flows_waiting : int
-        Flows at this instance that waited for an answer.
-    answered_by : str
-        Id of another run that had just answered.
-    waiting_everywhere, observers : int
-        Waiting flows at all instances, and the number of these instances.
-    """
-
-    at_s: float
-    silent_s: float
-    flows_waiting: int
-    answered_by: str
-    waiting_everywhere: int
-    observers: int
-
-
 class Backend:
     """One run of a backend server, as seen by this instance.
 
@@ -88,6 +68,9 @@
         "_max_avoidance_s",
         "number",
         "penalty_until_s",
+        "probe_failed_before_s",
+        "probe_failed_s",
+        "probe_not_before_s",
         "report_age_s",
         "reporting",
         "restored",
@@ -172,6 +155,12 @@
         self.unreachable = False
         #: Time of the last evidence of a missing answer.
         self.last_unanswered_s = 0.0
+        #: When the last two failed connections in a row were begun; a refused one
+        #: counts as two.
+        self.probe_failed_s = _NEVER_S
+        self.probe_failed_before_s = _NEVER_S
+        #: Time from which it may be probed again.
+        self.probe_not_before_s = 0.0
         #: Evidence of the last time that the run was found unreachable.
         self.verdict: UnreachableVerdict | None = None
 
@@ -223,10 +212,56 @@
         self.failures = 0
         self.penalty_until_s = 0.0
         self.waiting.clear()
+        self._mark_reachable()
+
+    def _mark_reachable(self) -> None:
+        self.probe_failed_s = self.probe_failed_before_s = _NEVER_S
         if self.unreachable:
             self.unreachable = False
             log.info(Event.BACKEND_ANSWERS, run=self.id)
 
+    def record_probe(self, outcome: ProbeOutcome, started_s: float) -> None:
+        """Record the outcome of a connection to the run.
+
+        An accepted one shows that the run is alive, so that its flows stay.
+
+        Parameters
+        ----------
+        outcome : ProbeOutcome
+            The outcome.
+        started_s : float
+            Time at which the connection was begun.
+        """
+        if outcome is ProbeOutcome.INCONCLUSIVE:
+            return
+        if outcome is ProbeOutcome.ACCEPTED:
+            self.probe_not_before_s = started_s + _ACCEPTED_PROBE_INTERVAL_S
+            self._mark_reachable()
+            return
+        self.probe_not_before_s = started_s + _FAILED_PROBE_INTERVAL_S
+        is_refused = outcome is ProbeOutcome.REFUSED
+        self.probe_failed_before_s = started_s if is_refused else self.probe_failed_s
+        self.probe_failed_s = started_s
+
+    def has_failed_probes(self, since_s: float, now_s: float) -> bool:
+        """Return whether connections show that the run can't be reached.
+
+        Parameters
+        ----------
+        since_s : float
+            Time since which the run has been silent; earlier connections show nothing.
+        now_s : float
+            Current time.
+
+        Returns
+        -------
+        bool
+            Whether the last two failed since then, the second one recently. A single
+            one may be due to a lost packet; a refused one needs no second.
+        """
+        is_recent = now_s - self.probe_failed_s <= _PROBE_VALID_S
+        return is_recent and self.probe_failed_before_s >= since_s
+
     def record_answer_time(self, took_s: float) -> None:
         """Record how long a caller waited for an answer.
 
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -30,7 +30,7 @@
 from agatethread.datapath._resets import FlowResetter
 from agatethread.datapath._shared_placing import SharedPlacing
 from agatethread.datapath._sightings import SightingExchange
-from agatethread.datapath._suspects import find_suspects, mark_if_unreachable
+from agatethread.datapath._suspects import SuspectMonitor, find_suspects
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.routing import (
     NO_ROUTES,
@@ -105,6 +105,7 @@
         self.shared_placing: SharedPlacing | None = None
         self.loads = FlowLoads(flow_limit_count)
         self.sighting_exchange = SightingExchange(now_s)
+        self.suspects = SuspectMonitor(view, policies, self.sighting_exchange)
         self.table: RouteTable = NO_ROUTES
 
     def apply_table(self, table: RouteTable) -> None:
@@ -313,16 +314,9 @@
         """
         now_s = self._now_s()
         lost = self._view.pop_newly_ended()
-        for backend in self._suspects():
-            if not backend.is_marked_unreachable(now_s) and mark_if_unreachable(
-                backend,
-                self._view,
-                self.sighting_exchange,
-                now_s,
-                self._running_since_s,
-                self._policies,
-            ):
-                lost.append(backend)
+        lost += self.suspects.mark_unreachable_runs(
+            self._find_suspects(), now_s, self._running_since_s
+        )
         if not lost or not self._policies.resets_idle_flows:
             return
         for key, flow in self.loads.open_flows_of(lost):
@@ -346,9 +340,9 @@
         list of Sighting
             Usually empty.
         """
-        return self.sighting_exchange.make_sightings(self._suspects())
+        return self.sighting_exchange.make_sightings(self._find_suspects())
 
-    def _suspects(self) -> set[Backend]:
+    def _find_suspects(self) -> set[Backend]:
         return find_suspects(self.loads, self._view, self.sighting_exchange)
 
     def tick(self) -> None:
--- a/src/agatethread/datapath/_instance.py
+++ b/src/agatethread/datapath/_instance.py
@@ -11,7 +11,9 @@
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._cold import ColdLimits
 from agatethread.datapath._departure import Departure
+from agatethread.datapath._entry_metrics import make_measures
 from agatethread.datapath._forwarder import LabelForwarder
+from agatethread.datapath._liveness import RunProber
 from agatethread.datapath._pacing import PacedSender
 from agatethread.datapath._packets import PacketCodec
 from agatethread.datapath._readiness import Readiness
@@ -38,6 +40,7 @@
     close_socket,
     make_reader,
     make_sender,
+    open_and_close,
     open_socket,
     start_reading,
 )
@@ -167,6 +170,8 @@
             policies,
             self._cold,
         )
+        prober = RunProber(open_and_close, self.add_future, now_s, counters)
+        self.forwarder.suspects.probe = prober.probe
         self._transport = RegistryTransport(
             listen_address(settings.registry, settings.listen_host),
             counters,
@@ -361,23 +366,16 @@
         Metrics
             Counters, gauges and histograms; their values are read at each export.
         """
-        loads, shared = self.forwarder.loads, self.forwarder.shared_placing
-        return Metrics(
+        return make_measures(
             self.counters,
+            self.forwarder,
+            self.view,
+            self.subscription,
+            lambda: float(self.sender.queued_bytes),
             {
                 "ready": lambda: float(self.is_ready),
-                "flows": lambda: float(len(loads)),
-                "waiting_bytes": lambda: float(self.sender.queued_bytes),
-                "backends": lambda: float(len(self.view)),
-                "routes_version": lambda: float(self.forwarder.table.version),
-                "controls_in_sight": lambda: float(
-                    len(self.subscription.reachable_links())
-                ),
                 "control_silent_s": lambda: self.timers.now_s() - self._last_delta_s,
-            }
-            | (shared.gauges() if shared else {}),
-            {"opening_s": loads.opening_s, "answer_s": loads.answer_s}
-            | (shared.histograms() if shared else {}),
+            },
         )
 
     def dump(self) -> dict[str, Any]:
--- a/src/agatethread/datapath/_reachability.py
+++ b/src/agatethread/datapath/_reachability.py
@@ -1,16 +1,18 @@
-"""Decides whether a run is unreachable, so that its open flows may be reset.
+"""Decides whether a run seems unreachable, so that its open flows may be reset.
 
 Handles a backend server with many long flows that crashes or is cut off. After a reset
 a caller retries its request on another flow at once, instead of waiting for its
-timeout. A reset while the run can still answer costs a request, so a run is unreachable
-only if it is silent while other runs answer.
+timeout. A reset while the run can still answer breaks a flow, and an instance sees no
+answers, only acknowledgements that pass through it. So a run that is silent while
+others answer is only suspected, and its flows stay unless connections to it fail too,
+see `_liveness`.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from agatethread.datapath._backend import Backend, UnreachableVerdict
-from agatethread.observability import Event, make_logger
+from agatethread.datapath._backend import Backend
+from agatethread.datapath._evidence import UnreachableVerdict
 from agatethread.settings import DEFAULT_POLICIES, Policies
 
 #: A single flow may have lost its packets on the caller's path.
@@ -18,6 +20,9 @@
 #: Time without answers after which a run is unreachable. An overloaded run answers some
 #: caller several times in this period.
 _MIN_SILENCE_S = 0.8
+#: Silence after which a run is probed: longer than callers take to retransmit, and
+#: short enough for two probes within the time after which it may be unreachable.
+_PROBE_AFTER_S = 0.2
 #: With strong evidence from several instances, this multiple of the usual answer time
 #: is enough; at least `_MIN_SILENCE_STRONG_S`, and at most `_MIN_SILENCE_S`.
 _USUAL_ANSWER_FACTOR = 10.0
@@ -36,8 +41,6 @@
 #: domain may be reachable from others.
 _MIN_DOMAINS = 2
 
-log = make_logger("silence")
-
 
 @dataclass(frozen=True, slots=True)
 class PooledSighting:
@@ -95,11 +98,11 @@
     running_since_s: float,
     pooled: PooledSighting = NO_POOLED_SIGHTING,
     policies: Policies = DEFAULT_POLICIES,
-) -> bool:
-    """Return whether a run is silent while other runs of its service answer.
+) -> UnreachableVerdict | None:
+    """Return the evidence that a run is silent while others of its service answer.
 
-    Logs it if so, and stores the evidence in the run. Clears the waiting flows of the
-    run if they may wait because this process was suspended.
+    Clears the waiting flows of the run if they may wait because this process was
+    suspended.
 
     Parameters
     ----------
@@ -118,22 +121,22 @@
 
     Returns
     -------
-    bool
-        Whether the run is unreachable.
+    UnreachableVerdict or None
+        None if there is too little evidence.
     """
     if backend.waiting and backend.waiting_since_s < running_since_s:
         # The suspension of this process may have caused the delay.
         backend.waiting.clear()
-        return False
+        return None
     silent_s = _observed_silence_s(backend, now_s, pooled)
     required_s = _required_silence_s(backend, pooled, policies)
     # Silence that began before the last suspension does not count.
     if silent_s < required_s or now_s - running_since_s < silent_s:
-        return False
+        return None
     answering = _find_recently_answering(backend, runs, now_s)
     if answering is None:
-        return False
-    backend.verdict = UnreachableVerdict(
+        return None
+    return UnreachableVerdict(
         at_s=now_s,
         silent_s=round(silent_s, 3),
         flows_waiting=len(backend.waiting),
@@ -141,16 +144,31 @@
         waiting_everywhere=pooled.waiting,
         observers=pooled.observers,
     )
-    log.info(
-        Event.BACKEND_UNREACHABLE,
-        run=backend.id,
-        flows_waiting=backend.verdict.flows_waiting,
-        silent_s=backend.verdict.silent_s,
-        answered_by=backend.verdict.answered_by,
-        waiting_everywhere=pooled.waiting,
-        observers=pooled.observers,
-    )
-    return True
+
+
+def should_probe(backend: Backend, now_s: float, pooled: PooledSighting) -> bool:
+    """Return whether to find out by a connection if a silent run is alive.
+
+    Parameters
+    ----------
+    backend : Backend
+        The run.
+    now_s : float
+        Current time.
+    pooled : PooledSighting
+        Combined sightings of the run, with those of this instance.
+
+    Returns
+    -------
+    bool
+        Whether enough flows wait for it, for some time, or it is marked as unreachable,
+        unless it was probed just before.
+    """
+    if backend.ended or now_s < backend.probe_not_before_s:
+        return False
+    if backend.is_marked_unreachable(now_s):
+        return True
+    return _observed_silence_s(backend, now_s, pooled) >= _PROBE_AFTER_S
 
 
 def _required_silence_s(
--- a/src/agatethread/datapath/_suspects.py
+++ b/src/agatethread/datapath/_suspects.py
@@ -1,15 +1,20 @@
-"""Finds runs that may be unreachable, and marks those that are.
+"""Finds runs that may be unreachable, probes them, and marks those that are.
 
 A run is a suspect if flows wait for its answer, at this or another instance.
 """
 
+from collections.abc import Callable
+
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._flows import FlowLoads
-from agatethread.datapath._reachability import detect_unreachable
+from agatethread.datapath._reachability import detect_unreachable, should_probe
 from agatethread.datapath._sightings import SightingExchange
+from agatethread.observability import Event, make_logger
 from agatethread.settings import Policies
 
+log = make_logger("silence")
+
 
 def find_suspects(
     loads: FlowLoads, view: BackendView, sighting_exchange: SightingExchange
@@ -39,40 +44,98 @@
     return {backend for backend in suspects if not backend.ended}
 
 
-def mark_if_unreachable(
-    backend: Backend,
-    view: BackendView,
-    sighting_exchange: SightingExchange,
-    now_s: float,
-    running_since_s: float,
-    policies: Policies,
-) -> bool:
-    """Mark a run if it is unreachable.
+def _ignore_run(_: Backend) -> None:
+    """Default of `SuspectMonitor.probe`."""
+
+
+class SuspectMonitor:
+    """Probes suspects, and marks the unreachable ones.
 
     Parameters
     ----------
-    backend : Backend
-        The run.
     view : BackendView
         Known runs.
-    sighting_exchange : SightingExchange
-        Sightings of other instances.
-    now_s : float
-        Current time.
-    running_since_s : float
-        Time since which this process has not been suspended.
     policies : Policies
         Sets the required silence.
-
-    Returns
-    -------
-    bool
-        Whether the run is marked as unreachable by recent evidence.
+    sighting_exchange : SightingExchange
+        Sightings of this and other instances.
     """
-    runs, pooled = (
-        view.runs_of_service(backend.service),
-        sighting_exchange.get_pooled(backend),
-    )
-    if detect_unreachable(backend, runs, now_s, running_since_s, pooled, policies):
+
+    def __init__(
+        self,
+        view: BackendView,
+        policies: Policies,
+        sighting_exchange: SightingExchange,
+    ):
+        self._view = view
+        self._policies = policies
+        self._sighting_exchange = sighting_exchange
+        #: Runs marked as unreachable, probed until they accept or the mark expires.
+        self._unreachable: set[Backend] = set()
+        #: Starts a connection to a run that seems silent; without any, no run is
+        #: considered unreachable.
+        self.probe: Callable[[Backend], None] = _ignore_run
+
+    def mark_unreachable_runs(
+        self, suspects: set[Backend], now_s: float, running_since_s: float
+    ) -> list[Backend]:
+        """Probe silent runs, and mark those that connections fail to.
+
+        Parameters
+        ----------
+        suspects : set of Backend
+            Runs that may be unreachable, see `find_suspects`.
+        now_s : float
+            Current time.
+        running_since_s : float
+            Time since which this process has not been suspended.
+
+        Returns
+        -------
+        list of Backend
+            Runs that were not marked before.
+        """
+        self._unreachable = {
+            backend
+            for backend in self._unreachable
+            if backend.is_marked_unreachable(now_s)
+        }
+        for backend in suspects | self._unreachable:
+            pooled = self._sighting_exchange.get_pooled(backend)
+            if should_probe(backend, now_s, pooled):
+                self.probe(backend)
+        marked = [
+            backend
+            for backend in suspects - self._unreachable
+            if self._mark_if_unreachable(backend, now_s, running_since_s)
+        ]
+        self._unreachable.update(marked)
+        return marked
+
+    def _mark_if_unreachable(
+        self, backend: Backend, now_s: float, running_since_s: float
+    ) -> bool:
+        verdict = detect_unreachable(
+            backend,
+            self._view.runs_of_service(backend.service),
+            now_s,
+            running_since_s,
+            self._sighting_exchange.get_pooled(backend),
+            self._policies,
+        )
+        if not verdict:
+            return False
+        if not backend.has_failed_probes(now_s - verdict.silent_s, now_s):
+            return False
+        backend.verdict = verdict
         backend.mark_unreachable(now_s)
-    return backend.is_marked_unreachable(now_s)
+        log.info(
+            Event.BACKEND_UNREACHABLE,
+            run=backend.id,
+            flows_waiting=verdict.flows_waiting,
+            silent_s=verdict.silent_s,
+            answered_by=verdict.answered_by,
+            waiting_everywhere=verdict.waiting_everywhere,
+            observers=verdict.observers,
+        )
+        return True
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -34,6 +34,7 @@
     RUN_SILENT = "backend server silent"
     BACKEND_AVOIDED = "backend server avoided: it does not answer"
     BACKEND_UNREACHABLE = "backend server unreachable: its flows end"
+    BACKEND_PROBED = "backend server probed"
     BACKEND_ANSWERS = "backend server answers again"
     BACKEND_SHARE_CHANGED = "backend server's share of new work"
     LABEL_COLLISION = "two runs share a label"
@@ -204,6 +205,7 @@
                 "observers",
             }
         ),
+        Event.BACKEND_PROBED: frozenset({"run", "outcome", "took_s"}),
         Event.BACKEND_ANSWERS: frozenset({"run"}),
         Event.BACKEND_SHARE_CHANGED: frozenset({"run", "percent", "percent_before"}),
         Event.LABEL_COLLISION: frozenset({"kept", "other"}),
--- a/src/agatethread/sockets/__init__.py
+++ b/src/agatethread/sockets/__init__.py
@@ -1,5 +1,6 @@
-"""Datagram sockets of the event loop."""
+"""Sockets of the event loop."""
 
+from agatethread.sockets._connections import open_and_close
 from agatethread.sockets._datagrams import (
     DatagramHandler,
     close_socket,
@@ -14,6 +15,7 @@
     "close_socket",
     "make_reader",
     "make_sender",
+    "open_and_close",
     "open_socket",
     "start_reading",
 ]
--- a/tests/datapath/test_open_flows.py
+++ b/tests/datapath/test_open_flows.py
@@ -1,9 +1,12 @@
 from dataclasses import replace
 
 from agatethread.datapath import derive_label
+from agatethread.datapath._evidence import ProbeOutcome
 from agatethread.routing import RouteTable
 from tests.datapath.fixtures import ForwarderCase, opening, packet, run, table
 
+SENT_ON = [("forward", 1)]
+
 
 class TestFlowsOfSoundRuns(ForwarderCase):
     """Open flows whose run is sound are not reset, whatever this instance sees."""
@@ -17,6 +20,10 @@
         self.forwarder.apply_table(RouteTable(2, routes))
         for number in (1, 2):
             self.view.update_run(run(number))
+        self.probe_outcome = ProbeOutcome.ACCEPTED
+        self.forwarder.suspects.probe = lambda backend: backend.record_probe(
+            self.probe_outcome, self.clock()
+        )
 
     def open_flows(self, number, ports):
         for port in ports:
@@ -36,8 +43,8 @@
         self.forwarder.reset_flows_of_lost_runs()
         return [data[1] for data, _ in self.sent if data[0] == "reset"]
 
-    def test_run_whose_answers_pass_another_instance_keeps_its_flows(self):
-        """Flows moved there while they waited, as this instance left the rotation."""
+    def lose_sight(self):
+        """Have flows wait for run 1 while run 2 answers; return the ports reset."""
         self.open_flows(1, range(1, 6))
         self.open_flows(2, [10])
         self.clock.value_s += 0.1
@@ -49,7 +56,32 @@
             self.clock.value_s += 0.1
             self.answer(10, 2, 1_000 + step)
             resets += self.reset_ports()
-        self.assertEqual(resets, [])
+        return resets
+
+    def test_run_whose_answers_pass_another_instance_keeps_its_flows(self):
+        """Flows moved there while they waited, as this instance left the rotation."""
+        self.assertEqual(self.lose_sight(), [])
+
+    def test_run_that_cannot_be_probed_keeps_its_flows(self):
+        """An instance without sockets to spare knows nothing of the run."""
+        self.probe_outcome = ProbeOutcome.INCONCLUSIVE
+        self.assertEqual(self.lose_sight(), [])
+
+    def test_run_that_refuses_connections_loses_its_flows(self):
+        """A crashed backend server is noticed within a second, as before."""
+        self.probe_outcome = ProbeOutcome.REFUSED
+        self.assertEqual(self.lose_sight(), [1, 2, 3, 4, 5])
+
+    def test_run_that_accepts_again_is_reachable(self):
+        """Guards against resets after a cut has healed, while no answer was seen."""
+        self.probe_outcome = ProbeOutcome.NO_REPLY
+        self.assertEqual(len(self.lose_sight()), 5)
+        self.probe_outcome = ProbeOutcome.ACCEPTED
+        self.ask(1, [20])
+        self.clock.value_s += 0.2
+        self.ask(1, [20])
+        self.reset_ports()
+        self.assertEqual(self.handle(packet(21, number=1, payload_bytes=9)), SENT_ON)
 
     def test_run_with_unacknowledged_answers_keeps_its_flows(self):
         """A caller may acknowledge a short answer with its next request only."""
--- a/tests/datapath/test_reachability.py
+++ b/tests/datapath/test_reachability.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from agatethread.datapath import Backend, BackendView, LabelForwarder, derive_label
+from agatethread.datapath._evidence import ProbeOutcome
 from agatethread.datapath._reachability import detect_unreachable
 from agatethread.observability import Counters
 from agatethread.routing import Route, RouteTable, Target
@@ -103,6 +104,7 @@
             10_000,
             lambda: True,
         )
+        self.forwarder.suspects.probe = self.probe
         route = Route((Target("tab", 1),), frozenset({"tab"}), idempotent)
         self.forwarder.table = RouteTable(1, {(HOST, 443): route})
         self.at(0.2, self.on_timer)
@@ -119,6 +121,12 @@
         self.forwarder.reset_flows_of_lost_runs()
         self.at(self.clock() + 0.2, self.on_timer)
 
+    def probe(self, backend):
+        """Connect to a run, which accepts as long as it answers callers."""
+        answers = self.find_answer_delay_s(backend.number, self.clock()) is not None
+        outcome = ProbeOutcome.ACCEPTED if answers else ProbeOutcome.REFUSED
+        backend.record_probe(outcome, self.clock())
+
     def run_until(self, until_s):
         """Process the events before a time and return the simulation."""
         while self.events and self.events[0][0] < until_s:
--- a/tests/datapath/test_resets.py
+++ b/tests/datapath/test_resets.py
@@ -1,5 +1,6 @@
 from logbook import TestHandler
 
+from agatethread.datapath._evidence import ProbeOutcome
 from agatethread.observability import Event
 from agatethread.wire.registry_pb2 import RUN_END_ADDRESS_TAKEN
 from tests.datapath.fixtures import ForwarderCase, opening, packet, run
@@ -40,6 +41,9 @@
 
     def test_reset_for_silence_names_its_evidence(self):
         """The silence, the waiting flows and the run that answers are in the line."""
+        self.forwarder.suspects.probe = lambda backend: backend.record_probe(
+            ProbeOutcome.REFUSED, self.clock()
+        )
         for number in (1, 2):
             self.view.update_run(run(number), CONTROL)
         for port in range(1, 5):
