--- a/src/agatethread/datapath/_flows.py
+++ b/src/agatethread/datapath/_flows.py
@@ -119,6 +119,10 @@
             Current time.
         """
         flow = self._flows.get(key)
+        if flow is not None and flow.opened:
+            # An earlier flow of the same port; nothing of it is true of this one.
+            self._remove(key, flow)
+            flow = None
         if flow is None:
             flow = self._add(key, backend, now_s)
             if flow is None:
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -3,7 +3,8 @@
 A flow is reset if its run has ended or is unreachable. An opening is reset if it has no
 route, if no run can take it or if a dispatcher refuses it. Packets are dropped if the
 instance lacks the state for them, if they go to a service that their route does not
-allow, and, for openings, if a run will soon be warm; callers send them again.
+allow, and, for openings, if a run will soon be warm, or if the flow may have opened
+through another instance; callers send them again.
 """
 
 import random
@@ -15,7 +16,9 @@
 from agatethread.datapath._flows import Flow, FlowLoads
 from agatethread.datapath._openings import (
     has_run_warm_soon,
+    is_late_copy,
     log_placement,
+    may_be_open_elsewhere,
     record_failed_tries,
 )
 from agatethread.datapath._packets import (
@@ -154,13 +157,17 @@
         if not self.table.version:
             self._drop(packet, "no_table")
             return
+        now_s = self._now_s()
+        flow = self.loads.get_flow(packet.key)
+        if is_late_copy(flow, now_s) and self._is_allowed(packet, flow.backend):
+            # Another run would answer it too.
+            self._forward(packet, flow.backend)
+            self._counters["openings_late"] += 1
+            return
         route = self.table.routes.get((packet.key.host, packet.key.port))
         if route is None:
-            self._reset(packet, "no_route")
+            self._refuse_opening(packet, "no_route")
             return
-
-        now_s = self._now_s()
-        flow = self.loads.get_flow(packet.key)
         service, tried = record_failed_tries(flow, packet, route, now_s)
         service = service or choose_service(route.targets, random.random)
         if self.shared_placing and not tried:
@@ -210,7 +217,7 @@
         """
         route = self.table.routes.get((packet.key.host, packet.key.port))
         if route is None:
-            self._reset(packet, "no_route")
+            self._refuse_opening(packet, "no_route")
             return
         service = choose_service(route.targets, random.random)
         self._place(packet, route, service, (), self._now_s())
@@ -263,7 +270,14 @@
             # still cold.
             self._drop(packet, "backends_cold")
         else:
-            self._reset(packet, "no_backend")
+            self._refuse_opening(packet, "no_backend")
+
+    def _refuse_opening(self, packet: Packet, reason: str) -> None:
+        """Reset an opening, or drop it if its flow may be open elsewhere."""
+        if may_be_open_elsewhere(self.loads.get_flow(packet.key), packet):
+            self._drop(packet, f"{reason}_for_copy")
+        else:
+            self._reset(packet, reason)
 
     def _on_packet(self, packet: Packet) -> None:
         backend = self._view.get_by_label(packet.label)
--- a/src/agatethread/datapath/_openings.py
+++ b/src/agatethread/datapath/_openings.py
@@ -14,9 +14,51 @@
 #: the copies of an opening and those of the caller's next try, each 1.4 s.
 _MAX_WARMUP_WAIT_S = 2.8
 
+#: Time after the last packet of a flow within which an opening of its addresses is a
+#: late copy; callers give up an opening after 1.4 s, and reuse a port much later.
+_LATE_COPY_S = 1.5
+
 log = make_logger("forwarder")
 
 
+def is_late_copy(flow: Flow | None, now_s: float) -> bool:
+    """Return whether an opening is a late copy of the opening of an open flow.
+
+    Parameters
+    ----------
+    flow : Flow or None
+        The flow that is recorded under the opening's addresses.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    bool
+        False also if the run of the flow has ended, as no flow can be open there.
+    """
+    if flow is None or not flow.opened or flow.backend.ended:
+        return False
+    return now_s - flow.last_packet_s <= _LATE_COPY_S
+
+
+def may_be_open_elsewhere(flow: Flow | None, packet: Packet) -> bool:
+    """Return whether the flow of an opening may be open without a record of it here.
+
+    Parameters
+    ----------
+    flow : Flow or None
+        The flow that is recorded under the opening's addresses.
+    packet : Packet
+        The opening.
+
+    Returns
+    -------
+    bool
+        Whether another instance may have placed the opening that this is a copy of.
+    """
+    return flow is None and packet.copy > 0
+
+
 def record_failed_tries(
     flow: Flow | None, packet: Packet, route: Route, now_s: float
 ) -> tuple[str, tuple[Backend, ...]]:
--- a/tests/datapath/test_open_flows.py
+++ b/tests/datapath/test_open_flows.py
@@ -119,9 +119,20 @@
             self.view.update_run(run(number, draining=True, sequence=2))
         self.assertEqual(self.handle(opening(7, copy=2)), [("forward", 1)])
 
+    def test_copy_of_an_opening_is_not_refused_if_another_instance_took_it(self):
+        """The flow may be open there; a first opening is refused at once."""
+        for number in (1, 2):
+            self.view.update_run(run(number, draining=True, sequence=2))
+        self.assertEqual(self.handle(opening(7, copy=1)), [])
+        self.assertEqual(self.handle(opening(8)), [("reset", 8)])
+        self.forwarder.apply_table(table(3, port=444))
+        self.assertEqual(self.handle(opening(9, copy=1)), [])
+        self.assertEqual(self.handle(opening(10)), [("reset", 10)])
+
     def test_opening_from_a_reused_port_is_another_flow(self):
         """The record of the former flow does not make the new one count as open."""
         self.open_flows(1, [7])
+        self.clock.value_s += 5.0
         self.view.update_run(run(1, draining=True, sequence=2))
         self.assertEqual(self.handle(opening(7)), [("forward", 2)])
         self.view.update_run(run(2, ended=True))
