--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -5,9 +5,12 @@
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._resets import describe_belief, format_source
 from agatethread.observability import Counters, Event, make_logger
+from agatethread.registry import is_assumed_end_outdated
 from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire.registry_pb2 import (
+    RUN_END_ADDRESS_TAKEN,
     RUN_END_STARTED_AGAIN,
+    RUN_END_UNKNOWN,
     BackendRun,
     RunEnd,
 )
@@ -113,6 +116,8 @@
             return
         if backend is not None and run.started_ms < backend.started_ms:
             return
+        if backend is not None and is_assumed_end_outdated(run, backend):
+            return
         if backend is None:
             backend = self._add(run, source)
         elif run.started_ms > backend.started_ms:
@@ -121,6 +126,8 @@
 
     def _update(self, backend: Backend, run: BackendRun, source: bytes) -> None:
         if run.sequence > backend.sequence:
+            if backend.ended and backend.end == RUN_END_ADDRESS_TAKEN and not run.ended:
+                self._revive(backend)
             backend.slots = max(1, run.slots)
             backend.sequence = run.sequence
             backend.warm_s = self._now_s() + run.warm_up_ms / 1000
@@ -202,10 +209,11 @@
         -------
         list of Backend
             Replaced runs are left out: the later run of the same id may have accepted
-            flows that were placed under their label.
+            flows that were placed under their label. So are runs that have reported
+            since.
         """
         ended, self._newly_ended = self._newly_ended, []
-        return ended
+        return [backend for backend in ended if backend.ended]
 
     def _add(self, run: BackendRun, source: bytes) -> Backend:
         backend = Backend(run, self._policies)
@@ -270,6 +278,13 @@
             last_report_ago_s=round(backend.report_age_s, 3),
         )
 
+    def _revive(self, backend: Backend) -> None:
+        """Take back an end that was concluded from another run at the address."""
+        backend.ended, backend.ended_s = False, 0.0
+        backend.end, backend.end_told_by = RUN_END_UNKNOWN, b""
+        self._by_service.setdefault(backend.service, []).append(backend)
+        self._record_change(backend, Event.RUN_REVIVED)
+
     def _count_change(self, event: Event) -> None:
         # The counter is named after the event.
         self._counters[event.replace(" ", "_")] += 1
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -31,6 +31,7 @@
     RUN_ADDED = "backend server known"
     RUN_REPORTING = "backend server reporting"
     RUN_DRAINING = "backend server draining"
+    RUN_REVIVED = "backend server live after all"
     RUN_SILENT = "backend server silent"
     BACKEND_AVOIDED = "backend server avoided: it does not answer"
     BACKEND_UNREACHABLE = "backend server unreachable: its flows end"
@@ -191,6 +192,7 @@
         Event.RUN_ADDED: _RUN_FIELDS,
         Event.RUN_REPORTING: _RUN_FIELDS,
         Event.RUN_DRAINING: _RUN_FIELDS,
+        Event.RUN_REVIVED: _RUN_FIELDS,
         Event.RUN_SILENT: _RUN_FIELDS,
         Event.BACKEND_AVOIDED: frozenset(
             {"run", "failures", "last_answer_ago_s", "pause_s"}
--- a/src/agatethread/registry/__init__.py
+++ b/src/agatethread/registry/__init__.py
@@ -1,5 +1,6 @@
 """Registry of backend servers: stores their reports, sends them to entry instances."""
 
+from agatethread.registry._admission import is_assumed_end_outdated
 from agatethread.registry._control_link import ControlLink
 from agatethread.registry._dispatchers import DispatcherDirectory, merge_dispatchers
 from agatethread.registry._evacuations import EvacuationPublisher, EvacuationReceiver
@@ -43,6 +44,7 @@
     "choose_followed",
     "decode_message",
     "derive_label",
+    "is_assumed_end_outdated",
     "is_cut_off",
     "load_hints",
     "merge_dispatchers",
--- a/src/agatethread/registry/_admission.py
+++ b/src/agatethread/registry/_admission.py
@@ -19,8 +19,11 @@
 ==========================  =================================================
 
 A new run is also refused if a live run of another id has its number, and not accepted
-while another run holds its address. `RunTable` also refuses a new run of a service that
-is not configured, and a report without a start time if most live runs report theirs.
+while another run holds its address. Where start times don't tell which of two runs at
+an address came later, the one that reported last is assumed to be live. A run whose end
+was only assumed takes the address back if it reports on and the other one doesn't.
+`RunTable` also refuses a new run of a service that is not configured, and a report
+without a start time if most live runs report theirs.
 
 Start times come from the backend servers' own clocks. If a clock is set back between
 two starts, the second run is not accepted until the first has not reported for
@@ -32,7 +35,7 @@
 from enum import Enum
 
 from agatethread.registry._report import START_UNKNOWN, Report
-from agatethread.wire.registry_pb2 import BackendRun
+from agatethread.wire.registry_pb2 import RUN_END_ADDRESS_TAKEN, BackendRun
 
 #: How long an ended or silent run is stored, so that a delayed report is not taken for
 #: a new run. Longer than a report can be delayed, and than the flows of a run live.
@@ -87,6 +90,7 @@
     address_holder: KnownRun | None,
     same_number_run: BackendRun | None,
     holder_timeout_s: float,
+    report_age_s: float = 0.0,
 ) -> ReportVerdict:
     """Return whether a report is accepted, and as what.
 
@@ -102,23 +106,29 @@
         A run of another id with the same number. Datagrams identify runs by number, so
         both can't be live.
     holder_timeout_s : float
-        A holder that has not reported for this time loses the address if the start
-        times don't show which run started later.
+        A holder whose last report is older than the report by this time loses the
+        address if the start times don't show which run started later.
+    report_age_s : float, optional
+        Age of a report received through another control instance; infinite if that
+        instance knows the run from before a restart only.
 
     Returns
     -------
     ReportVerdict
         The outcome.
     """
+    loses_address = address_holder is not None and _loses_address(
+        address_holder, report, holder_timeout_s, report_age_s
+    )
     if known_run is not None:
+        if loses_address and _continues_after_lost_address(report, known_run.run):
+            return ReportVerdict.STARTS
         verdict = _compare_with_known(report, known_run)
         if verdict is not ReportVerdict.STARTS:
             return verdict
     if same_number_run is not None and is_live(same_number_run):
         return ReportVerdict.CONTRADICTS
-    if address_holder is not None and not _loses_address(
-        address_holder, report, holder_timeout_s
-    ):
+    if address_holder is not None and not loses_address:
         return ReportVerdict.ADDRESS_HELD
     return ReportVerdict.STARTS
 
@@ -198,8 +208,19 @@
     return reported != (run.service, run.address, run.failure_domain)
 
 
-def _loses_address(holder: KnownRun, report: Report, holder_timeout_s: float) -> bool:
-    if holder.last_report_age_s >= RUN_RETENTION_S:
+def _continues_after_lost_address(report: Report, run: BackendRun) -> bool:
+    """Return whether a run reports on after it counted as ended for its address."""
+    is_assumed = run.ended and run.end == RUN_END_ADDRESS_TAKEN
+    is_same_start = report.started_ms == run.started_ms
+    return is_assumed and is_same_start and report.sequence > run.sequence
+
+
+def _loses_address(
+    holder: KnownRun, report: Report, holder_timeout_s: float, report_age_s: float
+) -> bool:
+    # Only newer evidence outweighs the holder's last report.
+    silent_s = holder.last_report_age_s - report_age_s
+    if silent_s >= RUN_RETENTION_S:
         return True
     starts = (report.started_ms, holder.run.started_ms)
     if START_UNKNOWN not in starts and starts[0] != starts[1]:
@@ -207,7 +228,25 @@
         return starts[0] > starts[1]
     # Assume that the holder is live and the report of the other run was delayed. If the
     # other run is live instead, a report of it is accepted after the timeout.
-    return holder.last_report_age_s >= holder_timeout_s
+    return silent_s >= holder_timeout_s
+
+
+def is_assumed_end_outdated(ended: BackendRun, run: BackendRun) -> bool:
+    """Return whether a run has reported since another instance assumed its end.
+
+    Parameters
+    ----------
+    ended : BackendRun
+        The run as the other instance sent it, ended.
+    run : BackendRun
+        The same run as it is known here.
+
+    Returns
+    -------
+    bool
+        False for an end that the run reported itself.
+    """
+    return ended.end == RUN_END_ADDRESS_TAKEN and ended.sequence < run.sequence
 
 
 def end_applies_to(run: BackendRun, started_ms: int) -> bool:
--- a/src/agatethread/registry/_run_logs.py
+++ b/src/agatethread/registry/_run_logs.py
@@ -17,6 +17,8 @@
 
     Attributes
     ----------
+    reason : str
+        How the end was detected, for logs.
     kind : RunEnd
         How the end is known.
     told_by : bytes
@@ -26,6 +28,7 @@
         Id of the run that uses the address now; empty if that was not the reason.
     """
 
+    reason: str
     kind: int = RUN_END_UNKNOWN
     told_by: bytes = TOLD_BY_ITSELF
     other_run: str = ""
@@ -116,17 +119,15 @@
     )
 
 
-def log_ended(record: RunRecord, reason: str, end: EndNotice, now_s: float) -> None:
+def log_ended(record: RunRecord, end: EndNotice, now_s: float) -> None:
     """Log the end of a run, and what it was concluded from.
 
     Parameters
     ----------
     record : RunRecord
         The run, with its last report before the end.
-    reason : str
-        How the end was detected.
     end : EndNotice
-        Who told of the end.
+        How the end was detected, and who told of it.
     now_s : float
         Present time.
     """
@@ -137,7 +138,7 @@
         started_ms=run.started_ms,
         service=run.service,
         sequence=run.sequence,
-        why=reason,
+        why=end.reason,
         end=RunEnd.Name(end.kind),
         told_by=format_source(end.told_by),
         other_run=end.other_run or None,
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -14,6 +14,7 @@
     check_report,
     check_service_and_start,
     end_applies_to,
+    is_assumed_end_outdated,
 )
 from agatethread.registry._report import START_UNKNOWN, Report
 from agatethread.registry._run_expiry import RunExpiry
@@ -129,7 +130,7 @@
             record.capacity_index = self.index
         return changed
 
-    def _check_report(self, report: Report) -> ReportVerdict:
+    def _check_report(self, report: Report, report_age_s: float = 0.0) -> ReportVerdict:
         records = self._records
         number_holder = records.get_other_by_number(report.number, report.id)
         return check_report(
@@ -138,14 +139,13 @@
             self._to_known_run(records.get_other_by_address(report.address, report.id)),
             number_holder.run if number_holder else None,
             self._address_lease_s,
+            report_age_s,
         )
 
     def _to_known_run(self, record: RunRecord | None) -> KnownRun | None:
-        return (
-            KnownRun(record.run, self._now_s() - record.last_report_s)
-            if record
-            else None
-        )
+        if record is None:
+            return None
+        return KnownRun(record.run, self._now_s() - record.last_report_s)
 
     def _get_or_admit(
         self, report: Report, verdict: ReportVerdict, source: bytes
@@ -166,15 +166,16 @@
             self._end_earlier_start(earlier, source)
         holder = self._records.get_other_by_address(report.address, report.id)
         if holder is not None:
-            notice = EndNotice(RUN_END_ADDRESS_TAKEN, source, report.id)
-            self._end(holder, "another run reports from its address", notice)
+            why = "another run reports from its address"
+            self._end(holder, EndNotice(why, RUN_END_ADDRESS_TAKEN, source, report.id))
         return self._records.add(to_run(report))
 
     def _end_earlier_start(self, earlier: RunRecord, source: bytes) -> None:
-        notice = EndNotice(RUN_END_STARTED_AGAIN, source)
-        self._end(earlier, "it started again", notice)
+        self._end(earlier, EndNotice("it started again", RUN_END_STARTED_AGAIN, source))
 
-    def _refresh(self, record: RunRecord, report: Report, source: bytes) -> bool:
+    def _refresh(
+        self, record: RunRecord, report: Report, source: bytes, age_s: float = 0.0
+    ) -> bool:
         run = record.run
         is_new = record.last_report_s == 0.0
         draining = run.draining or report.draining
@@ -182,7 +183,7 @@
         # A server that received no work for long may need to warm up again.
         warm_up_increased = warm_up_ms > run.warm_up_ms
         changed = is_new or run.silent or draining != run.draining or warm_up_increased
-        record.last_report_s = self._now_s()
+        record.last_report_s = self._now_s() - age_s
         record.told_by = source
         run.sequence = report.sequence
         run.slots = report.slots
@@ -215,8 +216,7 @@
             If the request may concern an earlier run; the sender may retry elsewhere.
         """
         ended = BackendRun(id=run_id, started_ms=started_ms, ended=True)
-        notice = EndNotice(RUN_END_REPORTED)
-        changed = self._apply_end(ended, "it said so", notice)
+        changed = self._apply_end(ended, EndNotice("it said so", RUN_END_REPORTED))
         if started_ms == START_UNKNOWN and not self._records.get(run_id).run.ended:
             raise ReportRefusedError(run_id, "it may be the end of an earlier run")
         return changed
@@ -239,19 +239,19 @@
             Whether the change has to be sent to entry instances.
         """
         if run.ended:
-            notice = EndNotice(run.end, source)
-            return self._apply_end(run, "another control instance says so", notice)
+            why = "another control instance says so"
+            return self._apply_end(run, EndNotice(why, run.end, source))
         stored = self._records.get(run.id)
         if run.silent and (stored is None or run.started_ms <= stored.run.started_ms):
             # The run may still report here, unless the other instance has a later one.
             return False
-        if run.restored:
-            source = TOLD_BY_DISK
-        report = to_report(run)
-        record = self._get_or_admit(report, self._check_report(report), source)
+        report, age_s = to_report(run), run.report_age_ms / 1000
+        source = TOLD_BY_DISK if run.restored else source
+        verdict = self._check_report(report, float("inf") if run.restored else age_s)
+        record = self._get_or_admit(report, verdict, source)
         if record is None:
             return False
-        changed = self._refresh(record, report, source)
+        changed = self._refresh(record, report, source, age_s)
         record.run.silent = run.silent
         return changed
 
@@ -293,34 +293,34 @@
         self._mark_changed(record)
         return True
 
-    def _apply_end(self, ended: BackendRun, reason: str, notice: EndNotice) -> bool:
+    def _apply_end(self, ended: BackendRun, notice: EndNotice) -> bool:
         record = self._records.get(ended.id)
         if record is None or record.run.started_ms < ended.started_ms:
-            return self._store_end_of_later_start(record, ended, reason, notice)
+            return self._store_end_of_later_start(record, ended, notice)
         if record.run.ended:
+            if notice.kind != RUN_END_ADDRESS_TAKEN:
+                # No longer an assumption, so a late report takes nothing back.
+                record.run.end = notice.kind
             return False
-        if not end_applies_to(record.run, ended.started_ms):
+        is_outdated = is_assumed_end_outdated(ended, record.run)
+        if is_outdated or not end_applies_to(record.run, ended.started_ms):
             log_rejected_end(record.run, ended.started_ms)
             return False
         record.run.draining |= ended.draining
-        self._end(record, reason, notice)
+        self._end(record, notice)
         return True
 
     def _store_end_of_later_start(
-        self,
-        earlier: RunRecord | None,
-        ended: BackendRun,
-        reason: str,
-        notice: EndNotice,
+        self, earlier: RunRecord | None, ended: BackendRun, notice: EndNotice
     ) -> bool:
         if earlier is not None and not earlier.run.ended:
             self._end_earlier_start(earlier, notice.told_by)
-        self._end(self._records.add(ended), reason, notice)
+        self._end(self._records.add(ended), notice)
         return True
 
-    def _end(self, record: RunRecord, reason: str, notice: EndNotice) -> None:
+    def _end(self, record: RunRecord, notice: EndNotice) -> None:
         run = record.run
-        log_ended(record, reason, notice, self._now_s())
+        log_ended(record, notice, self._now_s())
         if record.last_report_s:
             store_report_age(run, self._now_s() - record.last_report_s)
         run.ended = True
--- /dev/null
+++ b/tests/datapath/test_assumed_ends.py
@@ -0,0 +1,38 @@
+from agatethread.datapath import derive_label
+from agatethread.wire.registry_pb2 import RUN_END_ADDRESS_TAKEN, RUN_END_REPORTED
+from tests.datapath.fixtures import ForwarderCase, opening, packet, run
+
+
+class TestAssumedEnds(ForwarderCase):
+    """Ends that a control instance concluded from another run at the address."""
+
+    def setUp(self):
+        super().setUp()
+        self.view.update_run(run(1, sequence=5))
+
+    def end(self, sequence, reason):
+        self.view.update_run(run(1, sequence=sequence, ended=True, end=reason))
+
+    def is_ended(self):
+        return self.view.get_by_label(derive_label(1)).ended
+
+    def test_older_assumption_does_not_end_a_run_that_reported_since(self):
+        """Another control instance has received a later report."""
+        self.end(4, RUN_END_ADDRESS_TAKEN)
+        self.assertFalse(self.is_ended())
+
+    def test_later_report_takes_an_assumed_end_back(self):
+        """The flows of the run go on, and it gets new ones."""
+        self.end(5, RUN_END_ADDRESS_TAKEN)
+        self.assertTrue(self.is_ended())
+        self.view.update_run(run(1, sequence=6))
+        self.assertFalse(self.is_ended())
+        self.forwarder.reset_flows_of_lost_runs()
+        self.assertEqual(self.handle(packet(7, number=1)), [("forward", 1)])
+        self.assertEqual(self.handle(opening(8)), [("forward", 1)])
+
+    def test_reported_end_is_final(self):
+        """A late report does not bring back a run that said that it ended."""
+        self.end(4, RUN_END_REPORTED)
+        self.view.update_run(run(1, sequence=6))
+        self.assertTrue(self.is_ended())
--- a/tests/registry/test_address_conflicts.py
+++ b/tests/registry/test_address_conflicts.py
@@ -20,10 +20,10 @@
         self.table = RunTable(INTERVAL_S, self.clock)
         self.peer = RunTable(INTERVAL_S, self.clock)
 
-    def tell(self):
-        """Send the full state of the peer to the table."""
-        for _, run in self.peer.changes_after(0, with_reports=True):
-            self.table.apply_peer_run(run, PEER)
+    def tell(self, source=None, target=None):
+        """Send the full state of the peer, or `source`, to the table or `target`."""
+        for _, run in (source or self.peer).changes_after(0, with_reports=True):
+            (target or self.table).apply_peer_run(run, PEER)
 
     def is_ended(self, number):
         return self.table.get(f"i-{number}").ended
@@ -50,6 +50,17 @@
         self.tell()
         self.assertFalse(self.is_ended(2))
 
+    def test_older_report_gets_no_newer_on_its_way(self):
+        """A third instance passes it on as old as it is."""
+        third = RunTable(INTERVAL_S, self.clock)
+        self.peer.report(report(number=1))
+        self.clock.value_s += INTERVAL_S
+        self.table.report(report(number=2))
+        self.clock.value_s += LONG_S
+        self.tell(self.peer, third)
+        self.tell(third)
+        self.assertFalse(self.is_ended(2))
+
     def test_newer_report_of_a_peer_takes_the_address(self):
         """The holder was last heard of before the other run, and is gone."""
         self.table.report(report(number=1))
@@ -71,6 +82,17 @@
         self.assertFalse(self.is_ended(2))
         self.assertTrue(self.is_ended(1))
 
+    def test_reported_end_after_an_assumed_one_is_final(self):
+        """A late report does not bring back a run that has ended after all."""
+        self.table.report(report(number=1, sequence=5, draining=True))
+        self.clock.value_s += LONG_S
+        self.table.report(report(number=2))
+        self.table.end_run("i-1")
+        self.clock.value_s += LONG_S
+        self.table.report(report(number=1, sequence=6))
+        self.assertTrue(self.is_ended(1))
+        self.assertFalse(self.is_ended(2))
+
     def test_run_that_reported_its_end_stays_ended(self):
         """Only an end that was concluded from the address is taken back."""
         self.table.report(report(number=2, sequence=5, draining=True))
