--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -194,7 +194,7 @@
             self._cold,
         )
         if backend is None:
-            self._reset_or_drop_opening(packet, route, now_s)
+            self._refuse_or_drop(packet, route, now_s)
             return
         log_placement(packet, backend, tried, now_s, self.table.version)
         backend.start_trial(now_s)
@@ -247,7 +247,7 @@
         self._forward(packet, backend)
 
     def refuse(self, packet: Packet, reason: str) -> None:
-        """Refuse an opening with a reset.
+        """Refuse an opening with a reset, unless its flow is open.
 
         Parameters
         ----------
@@ -256,11 +256,12 @@
         reason : str
             Reason for logs and counters.
         """
-        self._reset(packet, reason)
+        if is_late_copy(self.loads.get_flow(packet.key), self._now_s()):
+            self._drop(packet, f"{reason}_for_copy")
+        else:
+            self._reset(packet, reason)
 
-    def _reset_or_drop_opening(
-        self, packet: Packet, route: Route, now_s: float
-    ) -> None:
+    def _refuse_or_drop(self, packet: Packet, route: Route, now_s: float) -> None:
         """Reset an opening without a run, or drop it if its next copy may get one."""
         if not self._is_view_complete():
             self._drop(packet, "no_backend_known")
@@ -305,8 +306,8 @@
     def _report_relayed_packet(self, key: FlowKey) -> None:
         """Report the state of a flow; one without a record counts as over."""
         flow = self.loads.get_flow(key)
-        is_over = flow is None
-        self.shared_placing.on_packet(key, not is_over and flow.busy, is_over)
+        is_busy = flow is not None and flow.busy
+        self.shared_placing.on_packet(key, is_busy, is_over=flow is None)
 
     def _should_reset_request(self, packet: Packet, backend: Backend) -> bool:
         """Return whether to reset the flow of a request, so that its caller retries it.
--- a/tests/datapath/test_open_flows.py
+++ b/tests/datapath/test_open_flows.py
@@ -129,6 +129,14 @@
         self.assertEqual(self.handle(opening(9, copy=1)), [])
         self.assertEqual(self.handle(opening(10)), [("reset", 10)])
 
+    def test_refusal_by_a_dispatcher_does_not_reset_an_open_flow(self):
+        """A copy was refused after the flow had opened."""
+        self.open_flows(1, [7])
+        self.sent.clear()
+        for port in (7, 8):
+            self.forwarder.refuse(opening(port, copy=1), "no_room")
+        self.assertEqual([data for data, _ in self.sent], [("reset", 8)])
+
     def test_opening_from_a_reused_port_is_another_flow(self):
         """The record of the former flow does not make the new one count as open."""
         self.open_flows(1, [7])
