--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -3,8 +3,8 @@
 A flow is reset if its run has ended or is unreachable. An opening is reset if it has no
 route, if no run can take it or if a dispatcher refuses it. Packets are dropped if the
 instance lacks the state for them, if they go to a service that their route does not
-allow, and, for openings, if a run will soon be warm, or if the flow may have opened
-through another instance; callers send them again.
+allow, and, for openings, if a run will soon be warm, or if they are copies; callers
+send them again.
 """
 
 import random
@@ -18,7 +18,6 @@
     has_run_warm_soon,
     is_late_copy,
     log_placement,
-    may_be_open_elsewhere,
     record_failed_tries,
 )
 from agatethread.datapath._packets import (
@@ -161,6 +160,7 @@
         flow = self.loads.get_flow(packet.key)
         if is_late_copy(flow, now_s) and self._is_allowed(packet, flow.backend):
             # Another run would answer it too.
+            log_placement(packet, flow.backend, (), now_s, self.table.version)
             self._forward(packet, flow.backend)
             self._counters["openings_late"] += 1
             return
@@ -274,8 +274,8 @@
             self._refuse_opening(packet, "no_backend")
 
     def _refuse_opening(self, packet: Packet, reason: str) -> None:
-        """Reset an opening, or drop it if its flow may be open elsewhere."""
-        if may_be_open_elsewhere(self.loads.get_flow(packet.key), packet):
+        """Reset an opening, or drop a copy, since the first may have been answered."""
+        if packet.copy:
             self._drop(packet, f"{reason}_for_copy")
         else:
             self._reset(packet, reason)
--- a/src/agatethread/datapath/_openings.py
+++ b/src/agatethread/datapath/_openings.py
@@ -41,24 +41,6 @@
     return now_s - flow.last_packet_s <= _LATE_COPY_S
 
 
-def may_be_open_elsewhere(flow: Flow | None, packet: Packet) -> bool:
-    """Return whether the flow of an opening may be open without a record of it here.
-
-    Parameters
-    ----------
-    flow : Flow or None
-        The flow that is recorded under the opening's addresses.
-    packet : Packet
-        The opening.
-
-    Returns
-    -------
-    bool
-        Whether another instance may have placed the opening that this is a copy of.
-    """
-    return flow is None and packet.copy > 0
-
-
 def record_failed_tries(
     flow: Flow | None, packet: Packet, route: Route, now_s: float
 ) -> tuple[str, tuple[Backend, ...]]:
--- a/tests/datapath/test_open_flows.py
+++ b/tests/datapath/test_open_flows.py
@@ -103,10 +103,12 @@
             self.view.update_run(run(number, draining=True, sequence=2))
         self.assertEqual(self.handle(opening(7, copy=2)), [("forward", 1)])
 
-    def test_copy_of_an_opening_is_not_refused_if_another_instance_took_it(self):
-        """The flow may be open there; a first opening is refused at once."""
+    def test_copy_of_an_opening_is_not_refused_as_the_first_may_be_answered(self):
+        """Here or through another instance; a first opening is refused at once."""
+        self.handle(opening(6))
         for number in (1, 2):
             self.view.update_run(run(number, draining=True, sequence=2))
+        self.assertEqual(self.handle(opening(6, copy=1)), [])
         self.assertEqual(self.handle(opening(7, copy=1)), [])
         self.assertEqual(self.handle(opening(8)), [("reset", 8)])
         self.forwarder.apply_table(table(3, port=444))
