--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,9 +6,10 @@
 
 from soak.addresses import claim_addresses
 from soak.backend import BackendServer
-from soak.callers import Tally
+from soak.callers import Caller, Tally
+from soak.flows import Flow
 from soak.operator import Operator
-from soak.promise_monitor import PromiseMonitor
+from soak.promise_monitor import CALM_AFTER_S, NOBODY, PromiseMonitor
 from soak.run import RunSize, Soak
 from soak.wire import SYN, Reply, Segment, call, decode, encode, host_number
 from tests.fakes import free_port
@@ -132,6 +133,94 @@
         self.assertEqual(self.deliver(ALPHA), [])
 
 
+class FakeRouter:
+    """Names instances by their numbers."""
+
+    def name_of(self, number):
+        return f"entry-{number}"
+
+
+class TestOpenFlows(unittest.IsolatedAsyncioTestCase):
+    """Whose reset of an open flow counts, and when."""
+
+    async def asyncSetUp(self):
+        self.promises = PromiseMonitor()
+        self.promises.started_s = asyncio.get_running_loop().time() - 100.0
+        self.addresses = claim_addresses(8)
+        self.addCleanup(self.addresses.claim.close)
+        operator = Operator(list, self.promises, 1)
+        self.server = BackendServer(
+            200, "alpha", self.addresses, list, operator.can_route, {}, self.promises
+        )
+        await self.server.start()
+        self.addCleanup(self.server.crash)
+        self.caller = Caller(
+            1,
+            self.addresses,
+            FakeRouter(),
+            operator.targets,
+            lambda run_id: self.server if run_id == self.server.run_id else None,
+            self.promises,
+            Tally(),
+        )
+        self.flow = Flow((host_number("127.104.8.1"), 40_001), ALPHA, lambda _: 4)
+        self.flow.instance = 4
+        self.flow.run_id = self.server.run_id
+        self.flow.run_known_s = self.promises.now_s()
+
+    def count_breaches(self, sender=5):
+        """Have the flow reset by an instance, and return the breaches so far."""
+        self.caller._check_reset(self.flow, self.addresses.advertised(sender))
+        return len(self.promises.breaches)
+
+    async def test_reset_of_a_sound_run_is_a_breach(self):
+        """No fault has touched anybody."""
+        self.assertEqual(self.count_breaches(), 1)
+
+    async def test_reset_under_planned_work_is_a_breach(self):
+        """Planned work ends calm, but disturbs nobody."""
+        self.promises.begin_fault("rolling stop", NOBODY)
+        self.assertFalse(self.promises.is_calm())
+        self.assertEqual(self.count_breaches(), 1)
+
+    async def test_reset_while_another_instance_is_disturbed_is_a_breach(self):
+        """The flow involves neither that instance nor that server."""
+        self.promises.begin_fault("kill", frozenset({"entry-6", "server-3"}))
+        self.assertEqual(self.count_breaches(), 1)
+
+    async def test_reset_by_or_through_a_disturbed_instance_is_no_breach(self):
+        """Counts neither during the fault nor shortly after it."""
+        for name in ("entry-5", "entry-4", "server-200"):
+            self.promises.begin_fault(name, frozenset({name}))
+            self.assertEqual(self.count_breaches(), 0)
+            self.promises.end_fault(name)
+            self.assertEqual(self.count_breaches(), 0)
+
+    async def test_reset_long_after_a_disturbance_is_a_breach(self):
+        """Four seconds after the fault everybody is in touch again."""
+        self.promises.begin_fault("cut")
+        self.assertEqual(self.count_breaches(), 0)
+        self.promises.end_fault("cut")
+        self.promises.started_s -= CALM_AFTER_S
+        self.assertEqual(self.count_breaches(), 1)
+
+    async def test_reset_by_the_run_itself_is_no_breach(self):
+        """A run may reset its own flows."""
+        self.caller._check_reset(self.flow, self.server.host)
+        self.assertEqual(self.promises.breaches, [])
+
+    async def test_reset_of_an_ended_run_is_no_breach(self):
+        """A run that crashed, reported its end or started again has no flows."""
+        self.server.is_ending = True
+        self.assertEqual(self.count_breaches(), 0)
+        self.server.is_ending = False
+        self.server.started_s = self.promises.now_s() + 1.0
+        self.assertEqual(self.count_breaches(), 0)
+        self.server.crash()
+        self.server.started_s = 0.0
+        self.assertEqual(self.count_breaches(), 0)
+
+
 class TestAddresses(unittest.TestCase):
     def test_concurrent_runs_with_one_seed_use_different_nets(self):
         """The net of a run is free again after the run."""
