--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -3,6 +3,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
@@ -102,6 +103,19 @@
         self.read_until(process, '"stopped"')
         self.assertEqual(process.wait(LIMIT_S), 0)
 
+    def test_signals_while_the_process_ends_do_not_change_its_exit_code(self):
+        """Stops and changes of the settings may overlap."""
+        for late_signal in (signal.SIGTERM, signal.SIGHUP):
+            with self.subTest(late_signal):
+                process = self.start()
+                self.read_until(process, '"started"')
+                process.send_signal(signal.SIGTERM)
+                self.read_until(process, '"stopped"')
+                while process.poll() is None:
+                    process.send_signal(late_signal)
+                    time.sleep(0.0005)
+                self.assertEqual(process.returncode, 0)
+
     def test_exits_with_errors_of_invalid_settings(self):
         """Invalid settings at the start are printed; the exit code is 2."""
         self.path.write_text("zone=a")
