--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -56,6 +56,7 @@
         "earlier_labels",
         "ended",
         "ended_s",
+        "flows_end_s",
         "end",
         "end_told_by",
         "evacuated",
@@ -116,6 +117,9 @@
         self.draining = False
         self.ended = False
         self.ended_s = 0.0
+        #: Time from which its open flows are reset: that of its end, or later if the
+        #: end is only assumed.
+        self.flows_end_s = 0.0
         #: How the end is known, and the packed address of the control instance that
         #: told of it.
         self.end = RUN_END_UNKNOWN
@@ -164,6 +168,21 @@
         #: Evidence of the last time that the run was found unreachable.
         self.verdict: UnreachableVerdict | None = None
 
+    def have_flows_ended(self, now_s: float) -> bool:
+        """Return whether open flows of the run are reset because of its end.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time.
+
+        Returns
+        -------
+        bool
+            False also while an assumed end may still be taken back.
+        """
+        return self.ended and now_s >= self.flows_end_s
+
     def usable_weight(self, now_s: float) -> float:
         """Return the current factor on the run's share of new flows.
 
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -21,9 +21,9 @@
 #: backend server that restarts in a loop.
 _MAX_EARLIER_LABELS = 8
 
-#: Report intervals for which runs of a readmitted failure domain count as cold, so
-#: that each can report again.
-_READMISSION_REPORT_INTERVALS = 1.5
+#: Report intervals within which each live run reports again: runs of a readmitted
+#: failure domain count as cold so long, and an assumed end resets no flows.
+_NEXT_REPORT_INTERVALS = 1.5
 
 log = make_logger("backends")
 
@@ -51,7 +51,7 @@
         report_interval_s: float = 0.0,
     ):
         self._policies = policies
-        self._readmitted_cold_s = _READMISSION_REPORT_INTERVALS * report_interval_s
+        self._next_report_s = _NEXT_REPORT_INTERVALS * report_interval_s
         self._now_s = now_s
         self._counters = counters
         self._by_id: dict[str, Backend] = {}
@@ -153,7 +153,7 @@
         log.info(Event.EVACUATIONS_IN_FORCE, domains=sorted(failure_domains))
         readmitted = self._evacuated - failure_domains
         self._evacuated = failure_domains
-        cold_until_s = self._now_s() + self._readmitted_cold_s
+        cold_until_s = self._now_s() + self._next_report_s
         for backend in self._by_id.values():
             backend.evacuated = self._is_evacuated(backend)
             if backend.failure_domain in readmitted:
@@ -203,7 +203,7 @@
         return domain in self._evacuated and domain != self._exempt_domain
 
     def pop_newly_ended(self) -> list[Backend]:
-        """Return and clear the runs that ended since the last call.
+        """Return and clear the runs whose flows have ended since the last call.
 
         Returns
         -------
@@ -212,8 +212,12 @@
             flows that were placed under their label. So are runs that have reported
             since.
         """
-        ended, self._newly_ended = self._newly_ended, []
-        return [backend for backend in ended if backend.ended]
+        now_s = self._now_s()
+        ended = [backend for backend in self._newly_ended if backend.ended]
+        self._newly_ended = [
+            backend for backend in ended if not backend.have_flows_ended(now_s)
+        ]
+        return [backend for backend in ended if backend.have_flows_ended(now_s)]
 
     def _add(self, run: BackendRun, source: bytes) -> Backend:
         backend = Backend(run, self._policies)
@@ -265,6 +269,8 @@
         backend.ended = True
         backend.ended_s = self._now_s()
         backend.end, backend.end_told_by = end, source
+        is_assumed = end == RUN_END_ADDRESS_TAKEN
+        backend.flows_end_s = backend.ended_s + self._next_report_s * is_assumed
         self._by_service[backend.service].remove(backend)
         self._count_change(Event.BACKEND_ENDED)
         log.info(
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -281,16 +281,16 @@
             self._reset(packet, reason)
 
     def _on_packet(self, packet: Packet) -> None:
-        backend = self._view.get_by_label(packet.label)
+        backend, now_s = self._view.get_by_label(packet.label), self._now_s()
         outcome = decide_open_flow(
             is_known=backend is not None,
             is_allowed=backend is not None and self._is_allowed(packet, backend),
-            has_ended=backend is not None and backend.ended,
+            has_ended=backend is not None and backend.have_flows_ended(now_s),
         )
         if outcome is OpenFlowOutcome.FORWARD:
             if self.shared_placing:
                 self.shared_placing.record_relayed_flow(packet.key, backend, self.loads)
-            self.loads.record_packet(packet, backend, self._now_s())
+            self.loads.record_packet(packet, backend, now_s)
             if self.shared_placing:
                 self._report_relayed_packet(packet.key)
             if self._should_reset_request(packet, backend):
--- a/tests/datapath/test_assumed_ends.py
+++ b/tests/datapath/test_assumed_ends.py
@@ -1,6 +1,8 @@
-from agatethread.datapath import derive_label
+from agatethread.datapath import BackendView, derive_label
 from agatethread.wire.registry_pb2 import RUN_END_ADDRESS_TAKEN, RUN_END_REPORTED
-from tests.datapath.fixtures import ForwarderCase, opening, packet, run
+from tests.datapath.fixtures import ForwarderCase, opening, packet, run, table
+
+REPORT_INTERVAL_S = 1.2
 
 
 class TestAssumedEnds(ForwarderCase):
@@ -8,6 +10,11 @@
 
     def setUp(self):
         super().setUp()
+        self.view = BackendView(
+            self.clock, self.counters, report_interval_s=REPORT_INTERVAL_S
+        )
+        self.forwarder = self.make_forwarder()
+        self.forwarder.apply_table(table())
         self.view.update_run(run(1, sequence=5))
 
     def end(self, sequence, reason):
@@ -31,6 +38,28 @@
         self.assertEqual(self.handle(packet(7, number=1)), [("forward", 1)])
         self.assertEqual(self.handle(opening(8)), [("forward", 1)])
 
+    def test_flows_stay_until_the_run_had_time_to_report(self):
+        """A wrong assumption is taken back before it resets a flow."""
+        self.handle(packet(7, number=1))
+        self.end(5, RUN_END_ADDRESS_TAKEN)
+        self.assertEqual(self.handle(opening(8)), [("reset", 8)])
+        self.clock.value_s += REPORT_INTERVAL_S
+        self.sent.clear()
+        self.forwarder.reset_flows_of_lost_runs()
+        self.assertEqual(self.sent, [])
+        self.assertEqual(self.handle(packet(7, number=1)), [("forward", 1)])
+        self.clock.value_s += REPORT_INTERVAL_S
+        self.sent.clear()
+        self.forwarder.reset_flows_of_lost_runs()
+        self.assertEqual([data for data, _ in self.sent], [("reset", 7)])
+        self.assertEqual(self.handle(packet(9, number=1)), [("reset", 9)])
+
+    def test_reported_end_resets_flows_at_once(self):
+        """Nothing can take it back."""
+        self.handle(packet(7, number=1))
+        self.end(5, RUN_END_REPORTED)
+        self.assertEqual(self.handle(packet(7, number=1)), [("reset", 7)])
+
     def test_reported_end_is_final(self):
         """A late report does not bring back a run that said that it ended."""
         self.end(4, RUN_END_REPORTED)
--- a/tests/datapath/test_cold.py
+++ b/tests/datapath/test_cold.py
@@ -164,7 +164,7 @@
 class TestReadmission(ForwarderCase):
     def test_readmitted_runs_are_cold_until_reports(self):
         """They get no flow until a report can have arrived."""
-        self.view._readmitted_cold_s = 1.8
+        self.view._next_report_s = 1.8
         self.forwarder.apply_table(RouteTable(2, table().routes, {"tab": 0.0}))
         self.view.update_run(run(1))
         self.view.update_run(run(2, failure_domain="b"))
