--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -231,13 +231,13 @@
         self.failures = 0
         self.penalty_until_s = 0.0
         self.waiting.clear()
+        if self.unreachable:
+            log.info(Event.BACKEND_ANSWERS, run=self.id)
         self._mark_reachable()
 
     def _mark_reachable(self) -> None:
+        self.unreachable = False
         self.probe_failed_s = self.probe_failed_before_s = _NEVER_S
-        if self.unreachable:
-            self.unreachable = False
-            log.info(Event.BACKEND_ANSWERS, run=self.id)
 
     def record_probe(self, outcome: ProbeOutcome, started_s: float) -> None:
         """Record the outcome of a connection to the run.
--- a/src/agatethread/registry/_run_logs.py
+++ b/src/agatethread/registry/_run_logs.py
@@ -4,9 +4,15 @@
 
 from agatethread.observability import Event, make_logger
 from agatethread.registry._admission import ReportVerdict
-from agatethread.registry._report import Report
+from agatethread.registry._report import START_UNKNOWN, Report
 from agatethread.registry._run_index import TOLD_BY_ITSELF, RunRecord, format_source
-from agatethread.wire.registry_pb2 import RUN_END_UNKNOWN, BackendRun, RunEnd
+from agatethread.wire.registry_pb2 import (
+    RUN_END_ADDRESS_TAKEN,
+    RUN_END_REPLACED,
+    RUN_END_UNKNOWN,
+    BackendRun,
+    RunEnd,
+)
 
 log = make_logger("registry")
 
@@ -34,6 +40,31 @@
     other_run: str = ""
 
 
+def make_replacement_notice(
+    holder: BackendRun, report: Report, source: bytes
+) -> EndNotice:
+    """Return the notice of the end of a run whose address another run uses.
+
+    Parameters
+    ----------
+    holder : BackendRun
+        The run that has ended.
+    report : Report
+        Report of the other run.
+    source : bytes
+        Packed address of the control instance that sent the report; `TOLD_BY_ITSELF`
+        if it was received here.
+
+    Returns
+    -------
+    EndNotice
+        An assumption unless both start times are known.
+    """
+    is_assumed = START_UNKNOWN in (holder.started_ms, report.started_ms)
+    kind = RUN_END_ADDRESS_TAKEN if is_assumed else RUN_END_REPLACED
+    return EndNotice("another run reports from its address", kind, source, report.id)
+
+
 def log_rejected_report(
     report: Report, verdict: ReportVerdict, holder: RunRecord | None, now_s: float
 ) -> None:
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -39,6 +39,7 @@
     log_ended,
     log_rejected_end,
     log_rejected_report,
+    make_replacement_notice,
 )
 from agatethread.wire.registry_pb2 import (
     RUN_END_ADDRESS_TAKEN,
@@ -166,8 +167,7 @@
             self._end_earlier_start(earlier, source)
         holder = self._records.get_other_by_address(report.address, report.id)
         if holder is not None:
-            why = "another run reports from its address"
-            self._end(holder, EndNotice(why, RUN_END_ADDRESS_TAKEN, source, report.id))
+            self._end(holder, make_replacement_notice(holder.run, report, source))
         return self._records.add(to_run(report))
 
     def _end_earlier_start(self, earlier: RunRecord, source: bytes) -> None:
--- a/tests/registry/test_address_conflicts.py
+++ b/tests/registry/test_address_conflicts.py
@@ -1,6 +1,7 @@
 import unittest
 
 from agatethread.registry import RunTable
+from agatethread.wire.registry_pb2 import RUN_END_REPLACED
 from tests.fakes import Clock, address
 from tests.registry.test_runs import INTERVAL_S, report
 
@@ -9,6 +10,17 @@
 PEER = address(90)
 
 
+class TestRunsWithStartTimes(unittest.TestCase):
+    def test_later_start_at_the_address_is_no_assumption(self):
+        """Two runs can't share an address, so the earlier one has ended."""
+        table = RunTable(INTERVAL_S, Clock())
+        table.report(report(number=1, sequence=5, started_ms=1_000))
+        table.report(report(number=2, started_ms=2_000))
+        self.assertEqual(table.get("i-1").end, RUN_END_REPLACED)
+        table.report(report(number=1, sequence=6, started_ms=1_000))
+        self.assertTrue(table.get("i-1").ended)
+
+
 class TestRunsWithoutStartTimes(unittest.TestCase):
     """Two runs that reported from one address, in an order that nothing tells.
 
