--- a/src/agatethread/cli/_reset_causes.py
+++ b/src/agatethread/cli/_reset_causes.py
@@ -98,7 +98,8 @@
         cause += (
             f" (no answer seen for {fields['silent_s']} s, {fields['flows_waiting']} "
             f"flows waiting here, {fields['observers']} instances with waiting flows, "
-            f"{fields['answered_by']} answers; last report known "
+            f"{fields['answered_by']} answers; a connection to it failed "
+            f"{fields.get('probe_failed_ago_s')} s before; last report known "
             f"{fields['last_report_ago_s']} s old at its receipt)"
         )
     return (verdicts or [reset])[-1], cause + _describe_flow_evidence(reset)
--- a/src/agatethread/datapath/_resets.py
+++ b/src/agatethread/datapath/_resets.py
@@ -1,6 +1,7 @@
 """Resets flows of callers, and logs what each reset rests on."""
 
 from collections.abc import Callable
+from math import isfinite
 
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._flows import Flow
@@ -54,6 +55,7 @@
         "end_told_by": format_source(backend.end_told_by),
         "last_answer_ago_s": _age_s(backend.last_answer_s, now_s),
         "flows_waiting": len(backend.waiting),
+        "probe_failed_ago_s": _age_s(backend.probe_failed_s, now_s),
         "unreachable": backend.is_marked_unreachable(now_s),
         "unreachable_ago_s": _age_s(verdict.at_s, now_s) if verdict else None,
     }
@@ -61,7 +63,7 @@
 
 def _age_s(time_s: float, now_s: float) -> float | None:
     """Return the time since an event, or None if there was none."""
-    return round(now_s - time_s, 3) if time_s else None
+    return round(now_s - time_s, 3) if time_s and isfinite(time_s) else None
 
 
 class FlowResetter:
@@ -161,6 +163,7 @@
             flows_waiting=verdict.flows_waiting if verdict else None,
             answered_by=verdict.answered_by if verdict else None,
             observers=verdict.observers if verdict else None,
+            probe_failed_ago_s=_age_s(backend.probe_failed_s, now_s),
         )
         self._counters["resets_inferred" if verdict else "resets_told"] += 1
         self._send_reset(packet, reason)
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -185,6 +185,7 @@
                 "flows_waiting",
                 "answered_by",
                 "observers",
+                "probe_failed_ago_s",
             }
         ),
         Event.PACKET_DROPPED: frozenset({"why", "flow", "label", "table_version"}),
--- a/tests/datapath/test_resets.py
+++ b/tests/datapath/test_resets.py
@@ -37,6 +37,7 @@
         self.assertEqual((line["told_ago_s"], line["last_report_ago_s"]), (0.5, 1.9))
         self.assertEqual(line["run_known_from"], "earlier packet")
         self.assertEqual(line["last_packet_ago_s"], 0.5)
+        self.assertIsNone(line["probe_failed_ago_s"])
         self.assertEqual(self.counters["resets_told"], 1)
 
     def test_reset_for_silence_names_its_evidence(self):
@@ -60,6 +61,7 @@
         self.assertEqual((line["why"], line["run"]), ("backend_unreachable", "i-1"))
         self.assertEqual((line["silent_s"], line["flows_waiting"]), (0.9, 3))
         self.assertEqual((line["answered_by"], line["end"]), ("i-2", "RUN_END_UNKNOWN"))
+        self.assertEqual(line["probe_failed_ago_s"], 0.0)
         self.assertEqual(self.counters["resets_inferred"], 1)
 
     def test_refused_opening_names_no_run(self):
