--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -69,6 +69,7 @@
         "_max_avoidance_s",
         "number",
         "penalty_until_s",
+        "probe_accepted_s",
         "probe_failed_before_s",
         "probe_failed_s",
         "probe_not_before_s",
@@ -163,6 +164,8 @@
         #: counts as two.
         self.probe_failed_s = _NEVER_S
         self.probe_failed_before_s = _NEVER_S
+        #: When the last accepted connection was begun.
+        self.probe_accepted_s = 0.0
         #: Time from which it may be probed again.
         self.probe_not_before_s = 0.0
         #: Evidence of the last time that the run was found unreachable.
@@ -254,6 +257,7 @@
         if outcome is ProbeOutcome.INCONCLUSIVE:
             return
         if outcome is ProbeOutcome.ACCEPTED:
+            self.probe_accepted_s = started_s
             self.probe_not_before_s = started_s + _ACCEPTED_PROBE_INTERVAL_S
             self._mark_reachable()
             return
@@ -262,6 +266,11 @@
         self.probe_failed_before_s = started_s if is_refused else self.probe_failed_s
         self.probe_failed_s = started_s
 
+    @property
+    def last_sign_of_life_s(self) -> float:
+        """Time of the last answer or accepted connection seen here; 0 for none."""
+        return max(self.last_answer_s, self.probe_accepted_s)
+
     def has_failed_probes(self, since_s: float, now_s: float) -> bool:
         """Return whether connections show that the run can't be reached.
 
--- a/src/agatethread/datapath/_reachability.py
+++ b/src/agatethread/datapath/_reachability.py
@@ -8,7 +8,8 @@
 see `_liveness`.
 """
 
-from collections.abc import Iterable
+import random
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from agatethread.datapath._backend import Backend
@@ -23,6 +24,9 @@
 #: Silence after which a run is probed: longer than callers take to retransmit, and
 #: short enough for two probes within the time after which it may be unreachable.
 _PROBE_AFTER_S = 0.2
+#: Chance of a probe at each check, ten times a second, by an instance where no flow
+#: waits for the run.
+_IDLE_PROBE_CHANCE = 0.3
 #: With strong evidence from several instances, this multiple of the usual answer time
 #: is enough; at least `_MIN_SILENCE_STRONG_S`, and at most `_MIN_SILENCE_S`.
 _USUAL_ANSWER_FACTOR = 10.0
@@ -146,7 +150,12 @@
     )
 
 
-def should_probe(backend: Backend, now_s: float, pooled: PooledSighting) -> bool:
+def should_probe(
+    backend: Backend,
+    now_s: float,
+    pooled: PooledSighting,
+    draw: Callable[[], float] = random.random,
+) -> bool:
     """Return whether to find out by a connection if a silent run is alive.
 
     Parameters
@@ -157,18 +166,23 @@
         Current time.
     pooled : PooledSighting
         Combined sightings of the run, with those of this instance.
+    draw : callable, optional
+        Returns a number from 0 to 1.
 
     Returns
     -------
     bool
         Whether enough flows wait for it, for some time, or it is marked as unreachable,
-        unless it was probed just before.
+        unless it was probed just before. If no flow waits here, by chance, as many
+        other instances see the same and tell if the run accepts.
     """
     if backend.ended or now_s < backend.probe_not_before_s:
         return False
     if backend.is_marked_unreachable(now_s):
         return True
-    return _observed_silence_s(backend, now_s, pooled) >= _PROBE_AFTER_S
+    if _observed_silence_s(backend, now_s, pooled) < _PROBE_AFTER_S:
+        return False
+    return bool(backend.waiting) or draw() < _IDLE_PROBE_CHANCE
 
 
 def _required_silence_s(
--- a/src/agatethread/datapath/_sightings.py
+++ b/src/agatethread/datapath/_sightings.py
@@ -1,7 +1,7 @@
 """Sightings, exchanged with other entry instances through control instances.
 
 A sighting tells how many flows of a run wait for an answer at an instance, and for how
-long; or that none do, and when the run last answered there.
+long; or that none do, and when the run last answered there or accepted a connection.
 """
 
 from collections.abc import Callable, Iterable
@@ -122,8 +122,8 @@
                     _make_sighting(backend, len(backend.waiting), silent_s)
                 )
             elif self._should_report_answer(backend, now_s):
-                last_answer_ago_s = now_s - backend.last_answer_s
-                sightings.append(_make_sighting(backend, 0, last_answer_ago_s))
+                alive_ago_s = now_s - backend.last_sign_of_life_s
+                sightings.append(_make_sighting(backend, 0, alive_ago_s))
         return sightings
 
     def _should_report_answer(self, backend: Backend, now_s: float) -> bool:
@@ -137,7 +137,8 @@
             # Flows reported by this instance no longer wait.
             return True
         pooled = self.get_pooled(backend)
-        return bool(pooled.waiting) and now_s - backend.last_answer_s < pooled.silent_s
+        alive_ago_s = now_s - backend.last_sign_of_life_s
+        return bool(pooled.waiting) and alive_ago_s < pooled.silent_s
 
 
 def _make_sighting(backend: Backend, waiting: int, silent_s: float) -> Sighting:
--- a/tests/datapath/test_sightings.py
+++ b/tests/datapath/test_sightings.py
@@ -1,7 +1,12 @@
 import unittest
 
 from agatethread.datapath import Backend, FlowLoads, derive_label
-from agatethread.datapath._reachability import PooledSighting, detect_unreachable
+from agatethread.datapath._evidence import ProbeOutcome
+from agatethread.datapath._reachability import (
+    PooledSighting,
+    detect_unreachable,
+    should_probe,
+)
 from agatethread.datapath._sightings import SightingExchange
 from agatethread.registry import SightingPool
 from agatethread.wire.registry_pb2 import Sighting, Sightings
@@ -75,6 +80,25 @@
         self.assertFalse(self.detect(PooledSighting(20, 0.75, 7, 3)))
 
 
+class TestProbesOfManyInstances(unittest.TestCase):
+    def test_instances_without_waiting_flows_spread_their_probes(self):
+        """Only those with waiting flows ask at once, so that others hear of it."""
+        backend = Backend(run(1))
+        backend.record_answer(10.0)
+        draws = (0.1, 0.9)
+        probes = [
+            should_probe(backend, 12.0, SUFFICIENT_SIGHTING, lambda draw=draw: draw)
+            for draw in draws
+        ]
+        self.assertEqual(probes, [True, False])
+        backend.add_waiting_flow("flow", 11.5)
+        probes = [
+            should_probe(backend, 12.0, SUFFICIENT_SIGHTING, lambda draw=draw: draw)
+            for draw in draws
+        ]
+        self.assertEqual(probes, [True, True])
+
+
 class TestSightingExchange(unittest.TestCase):
     def setUp(self):
         self.clock = Clock(12.0)
@@ -126,6 +150,14 @@
         (sighting,) = self.exchange.make_sightings([self.backend])
         self.assertEqual((sighting.waiting, sighting.silent_ms), (0, 200))
 
+    def test_reports_accepted_probe_while_others_wait(self):
+        """Guards against probes of a slow run by all instances at once."""
+        self.receive()
+        self.assertEqual(self.exchange.make_sightings([self.backend]), [])
+        self.backend.record_probe(ProbeOutcome.ACCEPTED, 11.9)
+        (sighting,) = self.exchange.make_sightings([self.backend])
+        self.assertEqual((sighting.waiting, sighting.silent_ms), (0, 100))
+
     def test_received_sighting_expires(self):
         """Expired sightings are ignored and deleted."""
         self.receive()
