--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -58,7 +58,7 @@
         "ended_s",
         "flows_end_s",
         "end",
-        "end_told_by",
+        "end_source",
         "evacuated",
         "failure_domain",
         "failures",
@@ -82,7 +82,7 @@
         "reporting_changed_s",
         "slots",
         "started_ms",
-        "told_by",
+        "source",
         "updated_s",
         "last_unanswered_s",
         "unreachable",
@@ -110,7 +110,7 @@
         self.sequence = 0
         #: Time of the last update from a control instance, and its packed address.
         self.updated_s = 0.0
-        self.told_by = b""
+        self.source = b""
         #: Age of the newest report at that control instance, and whether it knew the
         #: run from its disk only.
         self.report_age_s = 0.0
@@ -124,7 +124,7 @@
         #: How the end is known, and the packed address of the control instance that
         #: told of it.
         self.end = RUN_END_UNKNOWN
-        self.end_told_by = b""
+        self.end_source = b""
         #: Whether the failure domain of the run is evacuated.
         self.evacuated = False
         #: Whether control instances receive its reports; assumed until they say no.
@@ -267,7 +267,7 @@
         self.probe_failed_s = started_s
 
     @property
-    def last_sign_of_life_s(self) -> float:
+    def last_reply_s(self) -> float:
         """Time of the last answer or accepted connection seen here; 0 for none."""
         return max(self.last_answer_s, self.probe_accepted_s)
 
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from agatethread.datapath._backend import Backend
-from agatethread.datapath._resets import describe_belief, format_source
+from agatethread.datapath._resets import describe_run, format_source
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.registry import is_assumed_end_outdated
 from agatethread.settings import DEFAULT_POLICIES, Policies
@@ -268,7 +268,7 @@
     def _mark_ended(self, backend: Backend, end: RunEnd, source: bytes) -> None:
         backend.ended = True
         backend.ended_s = self._now_s()
-        backend.end, backend.end_told_by = end, source
+        backend.end, backend.end_source = end, source
         is_assumed = end == RUN_END_ADDRESS_TAKEN
         backend.flows_end_s = backend.ended_s + self._next_report_s * is_assumed
         self._by_service[backend.service].remove(backend)
@@ -287,7 +287,7 @@
     def _revive(self, backend: Backend) -> None:
         """Take back an end that was concluded from another run at the address."""
         backend.ended, backend.ended_s = False, 0.0
-        backend.end, backend.end_told_by = RUN_END_UNKNOWN, b""
+        backend.end, backend.end_source = RUN_END_UNKNOWN, b""
         self._by_service.setdefault(backend.service, []).append(backend)
         self._record_change(backend, Event.RUN_REVIVED)
 
@@ -303,7 +303,7 @@
             started_ms=backend.started_ms,
             service=backend.service,
             sequence=backend.sequence,
-            told_by=format_source(backend.told_by),
+            told_by=format_source(backend.source),
             last_report_ago_s=round(backend.report_age_s, 3),
             restored=backend.restored,
         )
@@ -354,13 +354,13 @@
                 "in_flight": backend.in_flight,
                 "failures": backend.failures,
             }
-            | describe_belief(backend, self._now_s())
+            | describe_run(backend, self._now_s())
             for backend in self._by_id.values()
         ]
 
 
 def _store_evidence(backend: Backend, run: BackendRun, source: bytes) -> None:
     """Store who told of a run, and how old the newest report was there."""
-    backend.told_by = source
+    backend.source = source
     backend.report_age_s = run.report_age_ms / 1000
     backend.restored = run.restored
--- a/src/agatethread/datapath/_resets.py
+++ b/src/agatethread/datapath/_resets.py
@@ -30,7 +30,7 @@
     return format_address(unpack_address(address)) if address else None
 
 
-def describe_belief(backend: Backend, now_s: float) -> dict[str, object]:
+def describe_run(backend: Backend, now_s: float) -> dict[str, object]:
     """Return what this instance believes of a run, and since when, for a state dump.
 
     Parameters
@@ -47,12 +47,12 @@
     """
     verdict = backend.verdict
     return {
-        "told_by": format_source(backend.told_by),
+        "told_by": format_source(backend.source),
         "told_ago_s": round(now_s - backend.updated_s, 3),
         "report_age_s": round(backend.report_age_s, 3),
         "restored": backend.restored,
         "end": RunEnd.Name(backend.end),
-        "end_told_by": format_source(backend.end_told_by),
+        "end_told_by": format_source(backend.end_source),
         "last_answer_ago_s": _age_s(backend.last_answer_s, now_s),
         "flows_waiting": len(backend.waiting),
         "probe_failed_ago_s": _age_s(backend.probe_failed_s, now_s),
@@ -155,7 +155,7 @@
             run_known_from=_source_of_run(flow),
             last_packet_ago_s=_age_s(flow.last_packet_s, now_s) if is_recorded else 0.0,
             end=RunEnd.Name(backend.end),
-            told_by=format_source(backend.end_told_by or backend.told_by),
+            told_by=format_source(backend.end_source or backend.source),
             told_ago_s=_age_s(backend.ended_s or backend.updated_s, now_s),
             last_report_ago_s=round(backend.report_age_s, 3),
             last_answer_ago_s=_age_s(backend.last_answer_s, now_s),
@@ -165,7 +165,7 @@
             observers=verdict.observers if verdict else None,
             probe_failed_ago_s=_age_s(backend.probe_failed_s, now_s),
         )
-        self._counters["resets_inferred" if verdict else "resets_told"] += 1
+        self._counters["resets_inferred" if verdict else "resets_reported"] += 1
         self._send_reset(packet, reason)
 
     def _send_reset(self, packet: Packet, reason: str) -> None:
--- a/src/agatethread/datapath/_sightings.py
+++ b/src/agatethread/datapath/_sightings.py
@@ -122,7 +122,7 @@
                     _make_sighting(backend, len(backend.waiting), silent_s)
                 )
             elif self._should_report_answer(backend, now_s):
-                alive_ago_s = now_s - backend.last_sign_of_life_s
+                alive_ago_s = now_s - backend.last_reply_s
                 sightings.append(_make_sighting(backend, 0, alive_ago_s))
         return sightings
 
@@ -137,7 +137,7 @@
             # Flows reported by this instance no longer wait.
             return True
         pooled = self.get_pooled(backend)
-        alive_ago_s = now_s - backend.last_sign_of_life_s
+        alive_ago_s = now_s - backend.last_reply_s
         return bool(pooled.waiting) and alive_ago_s < pooled.silent_s
 
 
--- a/src/agatethread/registry/_run_index.py
+++ b/src/agatethread/registry/_run_index.py
@@ -11,8 +11,8 @@
 
 #: Sources of a run's state other than the address of a control instance: the run
 #: itself, or the file that was saved before a restart.
-TOLD_BY_ITSELF = b""
-TOLD_BY_DISK = b"disk"
+SOURCE_RUN = b""
+SOURCE_DISK = b"disk"
 
 #: Largest age of a report that is sent; keeps the milliseconds within 32 bits.
 _MAX_REPORT_AGE_S = 3_600.0
@@ -36,14 +36,14 @@
         "direct_index",
         "last_report_s",
         "run",
-        "told_by",
+        "source",
     )
 
     def __init__(self, run: BackendRun):
         self.run = run
         #: Packed address of the control instance that sent the newest report;
-        #: `TOLD_BY_ITSELF` or `TOLD_BY_DISK` if none did.
-        self.told_by = TOLD_BY_ITSELF
+        #: `SOURCE_RUN` or `SOURCE_DISK` if none did.
+        self.source = SOURCE_RUN
         #: Time of the last report, end or restore, or of the end of a suspension of
         #: this process; 0 before the first report.
         self.last_report_s = 0.0
@@ -193,7 +193,7 @@
         Age up to which a report is as new as that of any live run; it is left out, to
         save bytes.
     """
-    record.run.restored = record.told_by == TOLD_BY_DISK
+    record.run.restored = record.source == SOURCE_DISK
     if not record.run.ended:
         age_s = now_s - record.last_report_s
         store_report_age(record.run, age_s if age_s > usual_age_s else 0.0)
@@ -349,7 +349,7 @@
         "ended": run.ended,
         "silent": run.silent,
         "heard_ago_s": round(now_s - record.last_report_s, 3),
-        "told_by": format_source(record.told_by),
+        "told_by": format_source(record.source),
         "end": RunEnd.Name(run.end),
     }
 
@@ -360,15 +360,15 @@
     Parameters
     ----------
     source : bytes
-        Packed address of a control instance, `TOLD_BY_ITSELF` or `TOLD_BY_DISK`.
+        Packed address of a control instance, `SOURCE_RUN` or `SOURCE_DISK`.
 
     Returns
     -------
     str
         ``IP:port``, ``itself`` or ``disk``.
     """
-    if source == TOLD_BY_ITSELF:
+    if source == SOURCE_RUN:
         return "itself"
-    if source == TOLD_BY_DISK:
+    if source == SOURCE_DISK:
         return "disk"
     return format_address(unpack_address(source))
--- a/src/agatethread/registry/_run_logs.py
+++ b/src/agatethread/registry/_run_logs.py
@@ -5,7 +5,7 @@
 from agatethread.observability import Event, make_logger
 from agatethread.registry._admission import ReportVerdict
 from agatethread.registry._report import START_UNKNOWN, Report
-from agatethread.registry._run_index import TOLD_BY_ITSELF, RunRecord, format_source
+from agatethread.registry._run_index import SOURCE_RUN, RunRecord, format_source
 from agatethread.wire.registry_pb2 import (
     RUN_END_ADDRESS_TAKEN,
     RUN_END_REPLACED,
@@ -27,8 +27,8 @@
         How the end was detected, for logs.
     kind : RunEnd
         How the end is known.
-    told_by : bytes
-        Packed address of the control instance that told of it; `TOLD_BY_ITSELF` for a
+    source : bytes
+        Packed address of the control instance that told of it; `SOURCE_RUN` for a
         report received here.
     other_run : str
         Id of the run that uses the address now; empty if that was not the reason.
@@ -36,7 +36,7 @@
 
     reason: str
     kind: int = RUN_END_UNKNOWN
-    told_by: bytes = TOLD_BY_ITSELF
+    source: bytes = SOURCE_RUN
     other_run: str = ""
 
 
@@ -52,7 +52,7 @@
     report : Report
         Report of the other run.
     source : bytes
-        Packed address of the control instance that sent the report; `TOLD_BY_ITSELF`
+        Packed address of the control instance that sent the report; `SOURCE_RUN`
         if it was received here.
 
     Returns
@@ -171,10 +171,10 @@
         sequence=run.sequence,
         why=end.reason,
         end=RunEnd.Name(end.kind),
-        told_by=format_source(end.told_by),
+        told_by=format_source(end.source),
         other_run=end.other_run or None,
         last_report_ago_s=_last_report_ago_s(record, now_s),
-        last_report_by=format_source(record.told_by),
+        last_report_by=format_source(record.source),
     )
 
 
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -19,8 +19,8 @@
 from agatethread.registry._report import START_UNKNOWN, Report
 from agatethread.registry._run_expiry import RunExpiry
 from agatethread.registry._run_index import (
-    TOLD_BY_DISK,
-    TOLD_BY_ITSELF,
+    SOURCE_DISK,
+    SOURCE_RUN,
     RunIndex,
     RunRecord,
     copy_run,
@@ -116,14 +116,14 @@
             verdict = check_service_and_start(
                 report, verdict, self.services, self._records.most_have_start
             )
-        record = self._get_or_admit(report, verdict, TOLD_BY_ITSELF)
+        record = self._get_or_admit(report, verdict, SOURCE_RUN)
         if verdict.is_refusal:
             raise ReportRefusedError(report.id, verdict.value)
         if record is None:
             return False
 
         previous_capacity = record.run.slots, record.run.warm_up_ms
-        changed = self._refresh(record, report, TOLD_BY_ITSELF)
+        changed = self._refresh(record, report, SOURCE_RUN)
         if not changed:
             self.index += 1
         self._records.mark_reported(record, self.index)
@@ -184,7 +184,7 @@
         warm_up_increased = warm_up_ms > run.warm_up_ms
         changed = is_new or run.silent or draining != run.draining or warm_up_increased
         record.last_report_s = self._now_s() - age_s
-        record.told_by = source
+        record.source = source
         run.sequence = report.sequence
         run.slots = report.slots
         run.draining = draining
@@ -221,7 +221,7 @@
             raise ReportRefusedError(run_id, "it may be the end of an earlier run")
         return changed
 
-    def apply_peer_run(self, run: BackendRun, source: bytes = TOLD_BY_ITSELF) -> bool:
+    def apply_peer_run(self, run: BackendRun, source: bytes = SOURCE_RUN) -> bool:
         """Apply the state of a run at another control instance.
 
         Ignores a silent state unless its start time is later than the stored one.
@@ -246,7 +246,7 @@
             # The run may still report here, unless the other instance has a later one.
             return False
         report, age_s = to_report(run), run.report_age_ms / 1000
-        source = TOLD_BY_DISK if run.restored else source
+        source = SOURCE_DISK if run.restored else source
         verdict = self._check_report(report, float("inf") if run.restored else age_s)
         record = self._get_or_admit(report, verdict, source)
         if record is None:
@@ -260,7 +260,7 @@
         number: int,
         sequence: int,
         start_times: Mapping[str, int],
-        source: bytes = TOLD_BY_ITSELF,
+        source: bytes = SOURCE_RUN,
     ) -> bool:
         """Apply a report that another control instance sent by run number.
 
@@ -286,7 +286,7 @@
         started_ms, now_s = start_times[record.run.id], self._now_s()
         if not refresh_by_number(record, sequence, started_ms, now_s):
             return False
-        record.told_by = source
+        record.source = source
         if not record.run.silent:
             return False
         record.run.silent = False
@@ -314,7 +314,7 @@
         self, earlier: RunRecord | None, ended: BackendRun, notice: EndNotice
     ) -> bool:
         if earlier is not None and not earlier.run.ended:
-            self._end_earlier_start(earlier, notice.told_by)
+            self._end_earlier_start(earlier, notice.source)
         self._end(self._records.add(ended), notice)
         return True
 
@@ -345,7 +345,7 @@
         for run in runs:
             record = self._records.add(run)
             record.last_report_s = self._now_s()
-            record.told_by = TOLD_BY_DISK
+            record.source = SOURCE_DISK
             self._mark_changed(record)
 
     def snapshot(self) -> list[BackendRun]:
--- a/tests/datapath/test_resets.py
+++ b/tests/datapath/test_resets.py
@@ -38,7 +38,7 @@
         self.assertEqual(line["run_known_from"], "earlier packet")
         self.assertEqual(line["last_packet_ago_s"], 0.5)
         self.assertIsNone(line["probe_failed_ago_s"])
-        self.assertEqual(self.counters["resets_told"], 1)
+        self.assertEqual(self.counters["resets_reported"], 1)
 
     def test_reset_for_silence_names_its_evidence(self):
         """The silence, the waiting flows and the run that answers are in the line."""
