--- a/soak/callers.py
+++ b/soak/callers.py
@@ -232,12 +232,14 @@
         """Record a breach if a reset ends a flow whose run is sound.
 
         Counts unless the run, the instance that took the last packet or the sender was
-        disturbed; the run itself may reset its flows.
+        disturbed. The run itself has no reason for a reset while all is calm.
         """
         server = self._find_run(flow.run_id) if flow.run_id else None
         if server is None or not server.serves_since(flow.run_known_s):
             return
-        if sender == server.host or flow.target not in self._targets():
+        if flow.target not in self._targets():
+            return
+        if sender == server.host and not self._promises.is_calm():
             return
         machine = self._router.name_of(parse_number(sender))
         parties = (server.name, self._router.name_of(flow.instance), machine)
--- a/tests/registry/test_address_conflicts.py
+++ b/tests/registry/test_address_conflicts.py
@@ -10,6 +10,12 @@
 PEER = address(90)
 
 
+def send_state(source, target):
+    """Send the full state of a control instance to another."""
+    for _, run in source.changes_after(0, with_reports=True):
+        target.apply_peer_run(run, PEER)
+
+
 class TestRunsWithStartTimes(unittest.TestCase):
     def test_later_start_at_the_address_is_no_assumption(self):
         """Two runs can't share an address, so the earlier one has ended."""
@@ -32,10 +38,9 @@
         self.table = RunTable(INTERVAL_S, self.clock)
         self.peer = RunTable(INTERVAL_S, self.clock)
 
-    def tell(self, source=None, target=None):
-        """Send the full state of the peer, or `source`, to the table or `target`."""
-        for _, run in (source or self.peer).changes_after(0, with_reports=True):
-            (target or self.table).apply_peer_run(run, PEER)
+    def tell(self):
+        """Send the full state of the peer to the table."""
+        send_state(self.peer, self.table)
 
     def is_ended(self, number):
         return self.table.get(f"i-{number}").ended
@@ -69,8 +74,9 @@
         self.clock.value_s += INTERVAL_S
         self.table.report(report(number=2))
         self.clock.value_s += LONG_S
-        self.tell(self.peer, third)
-        self.tell(third)
+        send_state(self.peer, third)
+        self.assertFalse(third.get("i-1").ended)
+        send_state(third, self.table)
         self.assertFalse(self.is_ended(2))
 
     def test_newer_report_of_a_peer_takes_the_address(self):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -204,10 +204,15 @@
         self.promises.started_s -= CALM_AFTER_S
         self.assertEqual(self.count_breaches(), 1)
 
-    async def test_reset_by_the_run_itself_is_no_breach(self):
-        """A run may reset its own flows."""
+    async def test_reset_by_the_run_itself_is_a_breach_in_calm_only(self):
+        """A run resets a flow that it does not hold."""
+        self.promises.begin_fault("rolling stop", NOBODY)
         self.caller._check_reset(self.flow, self.server.host)
         self.assertEqual(self.promises.breaches, [])
+        self.promises.end_fault("rolling stop")
+        self.promises.started_s -= CALM_AFTER_S
+        self.caller._check_reset(self.flow, self.server.host)
+        self.assertEqual(len(self.promises.breaches), 1)
 
     async def test_reset_of_an_ended_run_is_no_breach(self):
         """A run that crashed, reported its end or started again has no flows."""
