--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -116,6 +116,15 @@
                     time.sleep(0.0005)
                 self.assertEqual(process.returncode, 0)
 
+    def test_native_crash_leaves_the_stack_of_its_threads(self):
+        """A segmentation fault is printed, so that its cause can be found."""
+        process = self.start()
+        self.read_until(process, '"started"')
+        process.send_signal(signal.SIGSEGV)
+        self.read_until(process, "Fatal Python error: Segmentation fault")
+        self.read_until(process, "daemon.py")
+        self.assertEqual(process.wait(LIMIT_S), -signal.SIGSEGV)
+
     def test_exits_with_errors_of_invalid_settings(self):
         """Invalid settings at the start are printed; the exit code is 2."""
         self.path.write_text("zone=a")
