--- a/src/agatethread/registry/_control_link.py
+++ b/src/agatethread/registry/_control_link.py
@@ -8,6 +8,14 @@
 
 #: Messages acknowledged together; half of a window.
 _MESSAGES_PER_ACKNOWLEDGEMENT = 4
+#: Lease of a control instance: time without a message after which it is no longer
+#: reachable, and is replaced if it was followed; covers two polls and a resend.
+CONTROL_LEASE_S = 1.0
+#: Age of an unanswered request after which it is repeated; below a poll interval.
+_REPLY_TIMEOUT_S = 0.3
+#: Unanswered requests before a control instance is logged as unreachable, since a
+#: single datagram may be lost; as many as fit into its lease.
+_MIN_UNANSWERED_COUNT = 3
 
 log = make_logger("registry")
 
@@ -28,11 +36,12 @@
     probed_s: float = float("-inf")
     #: Time of the last poll or probe.
     requested_s: float = float("-inf")
-    #: Whether the log shows the control instance as reachable: until a request to it is
-    #: unanswered for 1 s.
+    #: Whether the log shows the control instance as reachable; see `is_lost`.
     is_logged_reachable: bool = False
     #: Time of the first unanswered request; infinite if there is none.
     unanswered_since_s: float = float("inf")
+    #: Requests since the last message.
+    unanswered_count: int = 0
     #: Time of the last poll that was not a probe.
     polled_s: float = float("-inf")
     #: Whether the control instance knows every reporting backend server.
@@ -65,6 +74,68 @@
     #: Start time of each live run at the control instance, by id.
     live_starts: dict[str, int] = field(default_factory=dict)
 
+    def record_request(self, now_s: float) -> None:
+        """Store that a poll or probe with a reply was sent.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time.
+        """
+        self.requested_s = now_s
+        self.unanswered_since_s = min(self.unanswered_since_s, now_s)
+        self.unanswered_count += 1
+
+    def is_unanswered(self, now_s: float) -> bool:
+        """Return whether the last request has been unanswered for too long.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time.
+
+        Returns
+        -------
+        bool
+            Whether the request should be repeated.
+        """
+        is_pending = self.last_message_s < self.requested_s
+        return is_pending and now_s - self.requested_s >= _REPLY_TIMEOUT_S
+
+    def is_in_doubt(self, now_s: float) -> bool:
+        """Return whether a reachable instance may be lost, which more requests decide.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time.
+
+        Returns
+        -------
+        bool
+            Whether its last request is unanswered, and its loss not logged.
+        """
+        return self.is_logged_reachable and self.is_unanswered(now_s)
+
+    def is_lost(self, now_s: float) -> bool:
+        """Return whether several requests were unanswered for the lease.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time.
+
+        Returns
+        -------
+        bool
+            Whether to log the instance as unreachable.
+        """
+        unanswered_for_s = now_s - self.unanswered_since_s
+        return (
+            self.unanswered_count >= _MIN_UNANSWERED_COUNT
+            and unanswered_for_s > CONTROL_LEASE_S
+        )
+
     def record_message(self, delta: Delta, now_s: float) -> None:
         """Store the header fields of a message; mark the instance as reachable.
 
@@ -87,6 +158,7 @@
             self.reset(delta.hub_incarnation)
         self.last_message_s = now_s
         self.unanswered_since_s = float("inf")
+        self.unanswered_count = 0
         self.settled = delta.settled
         self.failure_domain = delta.failure_domain
 
--- a/src/agatethread/registry/_probing.py
+++ b/src/agatethread/registry/_probing.py
@@ -17,8 +17,6 @@
 #: Interval between probes of other failure domains while only the own one is followed.
 #: Short enough to detect a partition soon, at little traffic between domains.
 _OTHER_DOMAIN_PROBE_INTERVAL_S = 0.7
-#: Time without an answer to a probe after which others are probed, too.
-_REPLY_TIMEOUT_S = 0.3
 
 
 class ControlProber:
@@ -56,19 +54,27 @@
     def probe_unfollowed(self, followed: Sequence[ControlLink]) -> None:
         """Send probes to control instances that are not followed.
 
-        At most `FOLLOWED_COUNT` that were not probed recently; a control instance, or
-        an entry instance that follows none, probes all of these.
+        At most `FOLLOWED_COUNT` that were not probed recently, besides those in doubt;
+        a control instance, or an entry instance that follows none, probes all of these.
 
         Parameters
         ----------
         followed : sequence of ControlLink
             Followed control instances.
         """
+        self._probe_in_doubt(followed)
         interval_s = _PROBE_INTERVAL_S if followed else _URGENT_PROBE_INTERVAL_S
         others = [link for link in self._links() if link not in followed]
         limit_count = FOLLOWED_COUNT if followed and not self._is_control else None
         self._probe_due(others, interval_s, limit_count)
 
+    def _probe_in_doubt(self, followed: Sequence[ControlLink]) -> None:
+        """Repeat unanswered probes; a loss is concluded from several only."""
+        now_s = self._now_s()
+        for link in self._links():
+            if link not in followed and link.is_in_doubt(now_s):
+                self._send_probe(link)
+
     def _probe_due(
         self, links: Sequence[ControlLink], interval_s: float, limit_count: int | None
     ) -> None:
@@ -88,6 +94,7 @@
         followed : sequence of ControlLink
             Followed control instances.
         """
+        self._probe_in_doubt(followed)
         domain = self._failure_domain
         own_domain = [link for link in self._links() if link.failure_domain == domain]
         missing = [link for link in own_domain if link not in followed]
@@ -97,7 +104,7 @@
     def probe_other_domains(self, followed: Sequence[ControlLink]) -> None:
         """Send probes to control instances of other failure domains in turn.
 
-        If one does not answer, sends probes to several others at the next poll, to
+        If one does not answer, probes it again at the next poll, and several others, to
         distinguish a partition from the loss of that one.
 
         Parameters
@@ -106,13 +113,15 @@
             Followed control instances, all of the own failure domain.
         """
         now_s = self._now_s()
+        last_probed = self._last_probed
+        is_silent = last_probed is not None and last_probed.is_unanswered(now_s)
+        self._probe_in_doubt(followed)
         others = [
             link
             for link in self._links()
             if link not in followed and link.failure_domain != self._failure_domain
         ]
-        last_probed = self._last_probed
-        if last_probed is not None and _is_unanswered(last_probed, now_s):
+        if is_silent:
             self._probe_due(others, _PROBE_INTERVAL_S, FOLLOWED_COUNT)
         elif others and (
             last_probed is None
@@ -120,10 +129,3 @@
         ):
             self._last_probed = min(others, key=lambda link: link.probed_s)
             self._send_probe(self._last_probed)
-
-
-def _is_unanswered(link: ControlLink, now_s: float) -> bool:
-    return (
-        link.last_message_s < link.requested_s
-        and now_s - link.requested_s >= _REPLY_TIMEOUT_S
-    )
--- a/src/agatethread/registry/_subscription.py
+++ b/src/agatethread/registry/_subscription.py
@@ -8,7 +8,7 @@
 
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.registry._chunks import TableAssembler
-from agatethread.registry._control_link import ControlLink
+from agatethread.registry._control_link import CONTROL_LEASE_S, ControlLink
 from agatethread.registry._evacuations import EvacuationPublisher, EvacuationReceiver
 from agatethread.registry._own_domain import (
     OwnDomainSelector,
@@ -38,10 +38,6 @@
     Sightings,
 )
 
-#: Lease of a control instance: time without a message after which it is no longer
-#: reachable, and is replaced if it was followed; covers two polls and a resend.
-_CONTROL_LEASE_S = 1.0
-
 log = make_logger("registry")
 
 Send = Callable[[RegistryMessage, bytes], None]
@@ -147,7 +143,7 @@
         list of ControlLink
             Control instances in no particular order.
         """
-        oldest_s = self._now_s() - _CONTROL_LEASE_S
+        oldest_s = self._now_s() - CONTROL_LEASE_S
         return [link for link in self.links.values() if link.last_message_s > oldest_s]
 
     def probe_if_unreachable(self) -> None:
@@ -200,16 +196,17 @@
                 self._acknowledge(link)
 
     def _mark_unreachable(self) -> None:
+        now_s = self._now_s()
         for link in self.links.values():
-            # Without a pending request, `unanswered_since_s` is infinite.
-            unanswered_for_s = self._now_s() - link.unanswered_since_s
-            if link.is_logged_reachable and unanswered_for_s > _CONTROL_LEASE_S:
+            if link.is_logged_reachable and link.is_lost(now_s):
                 link.is_logged_reachable = False
                 log.info(
                     Event.CONTROL_UNREACHABLE,
                     address=link.address.hex(),
                     failure_domain=link.failure_domain,
-                    silent_s=round(self._now_s() - link.last_message_s, 3),
+                    silent_s=round(now_s - link.last_message_s, 3),
+                    unanswered_s=round(now_s - link.unanswered_since_s, 3),
+                    unanswered=link.unanswered_count,
                 )
 
     def _send_probe(self, link: ControlLink) -> None:
@@ -221,8 +218,7 @@
         self, link: ControlLink, wants_reply: bool, probe: bool = False
     ) -> None:
         if wants_reply:  # else an acknowledgement or, as a probe, an unsubscription
-            link.requested_s = self._now_s()
-            link.unanswered_since_s = min(link.unanswered_since_s, link.requested_s)
+            link.record_request(self._now_s())
             if not probe:
                 link.polled_s = link.requested_s
                 link.is_unfollowed = False
