--- a/src/agatethread/control/_hints.py
+++ b/src/agatethread/control/_hints.py
@@ -58,51 +58,68 @@
         self._get_node = get_node
         self._spawn = spawn
         self._saves_registry = saves_registry
-        self._is_writing = False
+        self._is_closed = False
+        #: The write in progress, which runs in a thread.
         self._pending_write: asyncio.Future[None] | None = None
         #: What the disk holds.
         self._saved = _SavedState()
 
     def save(self) -> None:
         """Start to save what has changed, unless a write is in progress."""
+        if self._is_closed or self._pending_write is not None:
+            return
         node = self._get_node()
         current = _SavedState(
             self._runs.changed_index,
             self._publisher.known_entries(),
             node.commit_index if node else 0,
         )
-        if not self._is_writing and current != self._saved:
-            self._is_writing = True
-            self._spawn(self._write(current, node))
+        if current != self._saved:
+            write = self._choose_write(current, node)
+            # In a thread: a slow disk must not delay reports.
+            loop = asyncio.get_running_loop()
+            self._pending_write = loop.run_in_executor(None, write)
+            self._spawn(self._finish(self._pending_write, current))
+
+    def _choose_write(
+        self, current: _SavedState, node: RaftNode | None
+    ) -> Callable[[], None]:
+        """Return the function that writes what differs from the disk."""
+        folder, runs, saved = self._folder, self._runs.snapshot(), self._saved
+        has_new_registry = self._saves_registry and (
+            (current.run_change_index, current.entries)
+            != (saved.run_change_index, saved.entries)
+        )
+        has_new_index = node is not None and current.commit_index != saved.commit_index
+
+        def write() -> None:
+            if has_new_registry:
+                save_hints(folder, runs, current.entries)
+            if has_new_index:
+                node.sync_commit_index()
+
+        return write
 
-    async def _write(self, current: _SavedState, node: RaftNode | None) -> None:
-        runs = self._runs.snapshot()
+    async def _finish(self, write: asyncio.Future[None], current: _SavedState) -> None:
         try:
-            # In a thread: a slow disk must not delay reports.
-            saved = self._saved
-            has_changed = (current.run_change_index, current.entries) != (
-                saved.run_change_index,
-                saved.entries,
-            )
-            if self._saves_registry and has_changed:
-                await self._in_thread(save_hints, self._folder, runs, current.entries)
-            if node is not None and current.commit_index != saved.commit_index:
-                await self._in_thread(node.sync_commit_index)
+            # The thread continues if this task is cancelled; `close` waits for it.
+            await asyncio.shield(write)
             self._saved = current
         except (OSError, DiskFullError) as error:
             log.warning(Event.HINTS_NOT_SAVED, error=str(error))
         finally:
-            self._is_writing = False
-
-    async def _in_thread(self, write: Callable[..., None], *arguments: object) -> None:
-        # The thread continues if the waiting task is cancelled; `wait_for_write`
-        # awaits it.
-        self._pending_write = asyncio.ensure_future(
-            asyncio.to_thread(write, *arguments)
-        )
-        await asyncio.shield(self._pending_write)
+            if write.done():
+                self._pending_write = None
 
     async def wait_for_write(self) -> None:
-        """Wait for a write in progress, so that the folder can be deleted."""
+        """Wait for a write in progress."""
         if self._pending_write is not None:
             await asyncio.wait([self._pending_write])
+
+    async def close(self) -> None:
+        """Start no more writes, and wait for the one in progress.
+
+        After it, no thread of this process writes to the folder.
+        """
+        self._is_closed = True
+        await self.wait_for_write()
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -269,10 +269,10 @@
 
     async def on_stop(self) -> None:
         """Close the Raft server and the registry, and finish a pending write."""
+        if self._hints is not None:
+            await self._hints.close()
         if self._log_port is not None:
             await self._log_port.close()
-        if self._hints is not None:
-            await self._hints.wait_for_write()
         self._transport.close()
 
     def _publish_state(self, node: RaftNode) -> None:
--- a/tests/control/test_hints.py
+++ b/tests/control/test_hints.py
@@ -39,6 +39,14 @@
         """Without a write in progress, the wait returns at once."""
         await self.saver.wait_for_write()
 
+    async def test_closed_saver_starts_no_write(self):
+        """A timer that fires during the stop writes nothing to the folder."""
+        with mock.patch("agatethread.control._hints.save_hints") as save:
+            await self.saver.close()
+            self.saver.save()
+            await asyncio.sleep(0.05)
+        save.assert_not_called()
+
     async def test_saves_entry_instances_only_when_changed(self):
         """A new entry instance is saved; an unchanged list is not written again."""
         with mock.patch("agatethread.control._hints.save_hints") as save:
