--- a/src/agatethread/control/_log_opening.py
+++ b/src/agatethread/control/_log_opening.py
@@ -1,6 +1,9 @@
-"""Opens the log on disk, with retries."""
+"""Opens the log on disk, with retries, and loads what serves it."""
 
+import asyncio
+import importlib
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 from agatethread.control._member_name import load_or_create_member_name
 from agatethread.control._raft import RaftNode
@@ -9,6 +12,11 @@
 from agatethread.exceptions import DiskFullError, LogCorruptError
 from agatethread.observability import Event, make_logger
 
+if TYPE_CHECKING:
+    from agatethread.control._log_port import LogPort
+
+#: Loaded only after the registry serves, since it loads gRPC.
+_LOG_PORT_MODULE = "agatethread.control._log_port"
 #: Interval between attempts after a disk error or a corrupt file.
 _RETRY_INTERVAL_S = 0.5
 
@@ -68,6 +76,18 @@
         log.error(Event.LOG_NOT_SET_ASIDE, error=str(error))
 
 
+async def load_log_port() -> "type[LogPort]":
+    """Return the class `LogPort`, whose module is imported in a thread.
+
+    Returns
+    -------
+    type of LogPort
+        The class.
+    """
+    module = await asyncio.to_thread(importlib.import_module, _LOG_PORT_MODULE)
+    return module.LogPort
+
+
 def report_opened(node: RaftNode) -> None:
     """Report in the process log that the Raft log is open.
 
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import importlib
 import zlib
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
@@ -14,7 +13,7 @@
 from mode import Service
 
 from agatethread.control._hints import HintSaver
-from agatethread.control._log_opening import open_log, report_opened
+from agatethread.control._log_opening import load_log_port, open_log, report_opened
 from agatethread.control._membership import MembershipManager
 from agatethread.control._orders import OperatorRequests
 from agatethread.control._raft import RaftNode
@@ -65,8 +64,6 @@
 _PROPAGATION_TIMEOUT_S = 0.4
 #: Without a message from a leader for longer, a newer table may have been committed.
 _STALE_AFTER_S = 1.0
-#: Loaded only after the registry serves, since it loads gRPC.
-_LOG_PORT_MODULE = "agatethread.control._log_port"
 
 log = make_logger("control")
 
@@ -91,6 +88,7 @@
         self._log_port: LogPort | None = None
         self._membership: MembershipManager | None = None
         self._hints: HintSaver | None = None
+        self._opening: asyncio.Future | None = None
         self._published_version = 0
         self._started_s = self.timers.now_s()
         self._registry_port = parse_address(settings.registry)[1]
@@ -203,7 +201,7 @@
         self.timers.subscribe(_HINTS_INTERVAL_S, self._hints.save)
         self.timers.subscribe(_MEMBERS_INTERVAL_S, self._manage_members)
         self.subscription.poll()
-        self.add_future(self._open_log())
+        self._opening = self.add_future(self._open_log())
         log.info(Event.CONTROL_STARTED, instance=self.settings.name)
 
     async def _open_log(self) -> None:
@@ -215,11 +213,11 @@
         # The state on disk is published before the module with gRPC is loaded.
         node.subscribe(lambda: self._publish_state(node))
         self._publish_state(node)
-        module = await asyncio.to_thread(importlib.import_module, _LOG_PORT_MODULE)
+        make_log_port = await load_log_port()
         if self.should_stop:
-            # `on_stop` may have run already and would not stop a server started now.
+            await node.stop()
             return
-        self._log_port = port = module.LogPort(self.settings)
+        self._log_port = port = make_log_port(self.settings)
         self._membership = self._make_membership(node, port)
         target = listen_address(self.settings.target, self.settings.listen_host)
         await port.serve(node, self._membership.on_join, target)
@@ -268,9 +266,12 @@
         log.info(Event.LEAVING, leads=leads)
 
     async def on_stop(self) -> None:
-        """Close the Raft server and the registry, and finish a pending write."""
+        """Close hints, Raft server and registry; the Raft member is stopped next."""
         if self._hints is not None:
             await self._hints.close()
+        if self._opening is not None:
+            # Else it might start a member after all were stopped.
+            await asyncio.wait([self._opening])
         if self._log_port is not None:
             await self._log_port.close()
         self._transport.close()
--- a/src/agatethread/control/_storage.py
+++ b/src/agatethread/control/_storage.py
@@ -98,6 +98,7 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         self._log_file = None
         self._commit_index_file = None
+        self._is_closed = False
         self._offsets: list[int] = []
         self._size_bytes = 0
 
@@ -169,6 +170,7 @@
         DiskFullError
             If it could not be written.
         """
+        self._raise_if_closed()
         try:
             if self._commit_index_file is None:
                 self._commit_index_file = open(
@@ -299,6 +301,7 @@
         DiskFullError
             If they could not be written; the log is unchanged.
         """
+        self._raise_if_closed()
         records = [_encode_record(entry.SerializeToString()) for entry in entries]
         data = b"".join(records)
         try:
@@ -329,6 +332,7 @@
         os.fsync(self._log_file.fileno())
 
     def _replace_file(self, name: str, data: bytes) -> None:
+        self._raise_if_closed()
         path = self._folder / name
         temporary = path.with_suffix(".new")
         try:
@@ -341,6 +345,10 @@
         except OSError as error:
             raise DiskFullError(str(error)) from None
 
+    def _raise_if_closed(self) -> None:
+        if self._is_closed:
+            raise DiskFullError("the log is closed: the instance stops")
+
     def _sync_folder(self) -> None:
         folder = os.open(self._folder, os.O_RDONLY)
         try:
@@ -375,7 +383,8 @@
         return (self._folder / _DAMAGED).exists()
 
     def close(self) -> None:
-        """Close the files."""
+        """Close the files; later writes raise an error."""
+        self._is_closed = True
         if self._log_file is not None:
             self._log_file.close()
             self._log_file = None
--- a/tests/control/test_stop.py
+++ b/tests/control/test_stop.py
@@ -1,4 +1,5 @@
 import asyncio
+import os
 import tempfile
 import time
 import unittest
@@ -8,9 +9,12 @@
 from mode import Service
 
 from agatethread.control import RoutingControlInstance, RoutingControlSettings
+from agatethread.control._raft import RaftNode
+from agatethread.control._storage import LogStorage
+from agatethread.exceptions import DiskFullError
 from agatethread.observability import Counters
 from agatethread.registry import save_hints
-from agatethread.wire.control_pb2 import ControlMember
+from agatethread.wire.control_pb2 import ControlMember, HardState, LogEntry
 from tests.fakes import free_port, own_host
 
 
@@ -46,6 +50,16 @@
         )
         return RoutingControlInstance(settings, Counters())
 
+    def open_files(self):
+        """Return the files of the folder that this process has open."""
+        links = []
+        for descriptor in os.listdir("/proc/self/fd"):
+            try:
+                links.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+            except FileNotFoundError:
+                continue
+        return [link for link in links if link.startswith(str(self.folder))]
+
     async def test_no_hints_are_written_after_the_stop(self):
         """Nor by a timer that fires while other parts are still stopping."""
         writes = []
@@ -67,3 +81,57 @@
             stopped_s = time.monotonic()
             await asyncio.sleep(0.9)
         self.assertLess(max(writes, default=0.0), stopped_s)
+
+    async def test_stop_while_the_log_is_opened_leaves_nothing_open(self):
+        """No file, and no Raft server that others would call."""
+        for delay_s in (0.0, 0.002, 0.005, 0.01, 0.02, 0.05):
+            with self.subTest(delay_s=delay_s):
+                control = self.make_control()
+                host, _, port = control.settings.target.partition(":")
+                await control.start()
+                await asyncio.sleep(delay_s)
+                await control.stop()
+                await asyncio.sleep(0.05)
+                self.assertEqual(self.open_files(), [])
+                with self.assertRaises(ConnectionRefusedError):
+                    await asyncio.open_connection(host, int(port))
+
+    async def test_stop_during_a_slow_import_leaves_nothing_open(self):
+        """The member is opened before its server's module is loaded."""
+        control = self.make_control()
+        started_nodes = []
+
+        async def load_slowly():
+            await asyncio.sleep(0.3)
+            return mock.AsyncMock
+
+        with (
+            mock.patch(
+                "agatethread.control._routing_control.load_log_port", load_slowly
+            ),
+            mock.patch.object(RaftNode, "on_started", started_nodes.append),
+        ):
+            await control.start()
+            await asyncio.sleep(0.1)
+            await control.stop()
+        self.assertEqual(self.open_files(), [])
+        self.assertEqual(started_nodes, [])
+
+
+class TestClosedStorage(unittest.TestCase):
+    def test_closed_log_writes_nothing(self):
+        """A late call raises an error instead of opening the files again."""
+        with tempfile.TemporaryDirectory() as name:
+            storage = LogStorage(name)
+            storage.recover()
+            storage.close()
+            before = sorted(os.listdir(name))
+            for write in (
+                lambda: storage.save_commit_index(3),
+                lambda: storage.save_hard_state(HardState(term=2)),
+                lambda: storage.append([LogEntry(index=1, term=1)]),
+                lambda: storage.replace_log([]),
+            ):
+                with self.assertRaises(DiskFullError):
+                    write()
+            self.assertEqual(sorted(os.listdir(name)), before)
