--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -66,6 +66,7 @@
         "id",
         "in_flight",
         "label",
+        "label_retaken_s",
         "_max_avoidance_s",
         "number",
         "penalty_until_s",
@@ -133,6 +134,8 @@
         self.reporting_changed_s = 0.0
         #: Whether the run gets no flows because another run has the same label.
         self.is_label_taken = False
+        #: Time at which it got a label back that had been taken.
+        self.label_retaken_s = 0.0
         #: Time until which the run counts as cold.
         self.warm_s = 0.0
         #: Factor on its share of new flows, 0 to 1, set by control instances.
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -1,9 +1,10 @@
 """Runs of backend servers that are known to an entry instance."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._resets import describe_run, format_source
+from agatethread.datapath._run_labels import RunLabels
 from agatethread.observability import Counters, Event, make_logger
 from agatethread.registry import is_assumed_end_outdated
 from agatethread.settings import DEFAULT_POLICIES, Policies
@@ -55,7 +56,7 @@
         self._now_s = now_s
         self._counters = counters
         self._by_id: dict[str, Backend] = {}
-        self._by_label: dict[int, Backend] = {}
+        self._labels = RunLabels(now_s, self._next_report_s)
         self._by_service: dict[str, list[Backend]] = {}
         self._evacuated: frozenset[str] = frozenset()
         #: Evacuated failure domain that still gets new flows; empty for none.
@@ -79,7 +80,7 @@
         Backend or None
             None if no run with this label is known.
         """
-        return self._by_label.get(label)
+        return self._labels.get(label)
 
     def runs_of_service(self, service: str) -> list[Backend]:
         """Return the runs of a service that have not ended.
@@ -224,16 +225,7 @@
         _store_evidence(backend, run, source)
         backend.evacuated = self._is_evacuated(backend)
         self._by_id[run.id] = backend
-        existing = self._by_label.get(backend.label)
-        if existing is not None and not existing.ended:
-            # The run with the lower id is used, so that all instances decide alike.
-            excluded = max(existing, backend, key=lambda candidate: candidate.id)
-            excluded.is_label_taken = True
-            log.error(Event.LABEL_COLLISION, kept=existing.id, other=backend.id)
-            if excluded is existing:
-                self._by_label[backend.label] = backend
-        else:
-            self._by_label[backend.label] = backend
+        self._labels.add(backend)
         self._by_service.setdefault(backend.service, []).append(backend)
         self._record_change(backend, Event.RUN_ADDED)
         return backend
@@ -253,18 +245,12 @@
             earlier.started_ms = run.started_ms
             return earlier
         labels = [*earlier.earlier_labels, earlier.label]
-        self._delete_labels(earlier, labels)
+        self._labels.delete(earlier, labels)
         backend = self._add(run, source)
         backend.earlier_labels = labels[-_MAX_EARLIER_LABELS:]
-        for label in backend.earlier_labels:
-            self._by_label.setdefault(label, backend)
+        self._labels.add_earlier(backend, backend.earlier_labels)
         return backend
 
-    def _delete_labels(self, backend: Backend, labels: Iterable[int]) -> None:
-        for label in labels:
-            if self._by_label.get(label) is backend:
-                del self._by_label[label]
-
     def _mark_ended(self, backend: Backend, end: RunEnd, source: bytes) -> None:
         backend.ended = True
         backend.ended_s = self._now_s()
@@ -289,6 +275,7 @@
         backend.ended, backend.ended_s = False, 0.0
         backend.end, backend.end_source = RUN_END_UNKNOWN, b""
         self._by_service.setdefault(backend.service, []).append(backend)
+        self._labels.add(backend)
         self._record_change(backend, Event.RUN_REVIVED)
 
     def _count_change(self, event: Event) -> None:
@@ -309,7 +296,7 @@
         )
 
     def update_reporting(self, is_reporting: Callable[[str, int], bool]) -> None:
-        """Update which runs are reporting and delete expired ended runs.
+        """Update which runs are reporting and labelled; delete expired ended runs.
 
         Parameters
         ----------
@@ -322,6 +309,8 @@
                 if backend.ended_s < oldest_s:
                     self._delete(backend)
                 continue
+            if backend.is_label_taken:
+                self._labels.retake(backend)
             reporting = is_reporting(backend.id, backend.started_ms)
             if reporting != backend.reporting:
                 backend.reporting = reporting
@@ -331,7 +320,7 @@
 
     def _delete(self, backend: Backend) -> None:
         del self._by_id[backend.id]
-        self._delete_labels(backend, (backend.label, *backend.earlier_labels))
+        self._labels.delete(backend, (backend.label, *backend.earlier_labels))
 
     def dump(self) -> list[dict[str, object]]:
         """Return the runs for a state dump.
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -39,6 +39,7 @@
     BACKEND_ANSWERS = "backend server answers again"
     BACKEND_SHARE_CHANGED = "backend server's share of new work"
     LABEL_COLLISION = "two runs share a label"
+    LABEL_RETAKEN = "label free again: its run gets work"
 
     # Backend servers, logged by control instances.
     BACKEND_REPORTS = "backend server reports"
@@ -212,6 +213,7 @@
         Event.BACKEND_ANSWERS: frozenset({"run"}),
         Event.BACKEND_SHARE_CHANGED: frozenset({"run", "percent", "percent_before"}),
         Event.LABEL_COLLISION: frozenset({"kept", "other"}),
+        Event.LABEL_RETAKEN: frozenset({"run"}),
         Event.BACKEND_REPORTS: frozenset(
             {
                 "run",
