--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -57,6 +57,7 @@
         "ended",
         "ended_s",
         "flows_end_s",
+        "flows_hold_s",
         "end",
         "end_source",
         "evacuated",
@@ -122,6 +123,9 @@
         #: Time from which its open flows are reset: that of its end, or later if the
         #: end is only assumed.
         self.flows_end_s = 0.0
+        #: Time for which its open flows stay after an assumed end and after each answer
+        #: since; 0 after another end.
+        self.flows_hold_s = 0.0
         #: How the end is known, and the packed address of the control instance that
         #: told of it.
         self.end = RUN_END_UNKNOWN
@@ -233,6 +237,9 @@
         now_s : float
             Time of the answer.
         """
+        if self.ended and not self.have_flows_ended(now_s):
+            # It serves although another run seems to have its address.
+            self.flows_end_s = now_s + self.flows_hold_s
         self.last_answer_s = now_s
         self.failures = 0
         self.penalty_until_s = 0.0
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -256,7 +256,8 @@
         backend.ended_s = self._now_s()
         backend.end, backend.end_source = end, source
         is_assumed = end == RUN_END_ADDRESS_TAKEN
-        backend.flows_end_s = backend.ended_s + self._next_report_s * is_assumed
+        backend.flows_hold_s = self._next_report_s if is_assumed else 0.0
+        backend.flows_end_s = backend.ended_s + backend.flows_hold_s
         self._by_service[backend.service].remove(backend)
         self._count_change(Event.BACKEND_ENDED)
         log.info(
