--- a/src/agatethread/registry/_probing_entries.py
+++ b/src/agatethread/registry/_probing_entries.py
@@ -1,9 +1,12 @@
 """Stores the entry instances that probe a control instance but don't poll it."""
 
+from collections.abc import Callable
+
 from agatethread.registry._hints import KnownEntry
 
-#: Longer than the few seconds between two probes of an entry instance.
-_RETENTION_S = 10.0
+_MIN_RETENTION_S = 10.0
+#: Retention for each control instance, which entry instances probe in turn: two turns.
+_RETENTION_PER_CONTROL_S = 2.0
 #: Addresses that are stored; several times the largest deployment.
 _MAX_COUNT = 4_096
 
@@ -14,9 +17,15 @@
     Needed after a power failure of the whole site, when each entry instance waits for
     the first control instance. A control instance that starts also contacts these entry
     instances.
+
+    Parameters
+    ----------
+    count_controls : callable
+        Returns the number of other control instances.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, count_controls: Callable[[], int]):
+        self._count_controls = count_controls
         #: Failure domain and time of the last probe, by packed address.
         self._probes: dict[bytes, tuple[str, float]] = {}
 
@@ -48,10 +57,12 @@
         list of KnownEntry
             In no particular order.
         """
+        per_control_s = _RETENTION_PER_CONTROL_S * self._count_controls()
+        oldest_s = now_s - max(_MIN_RETENTION_S, per_control_s)
         self._probes = {
             address: (domain, probed_s)
             for address, (domain, probed_s) in self._probes.items()
-            if now_s - probed_s < _RETENTION_S
+            if probed_s > oldest_s
         }
         return [
             KnownEntry(address, domain) for address, (domain, _) in self._probes.items()
--- a/src/agatethread/registry/_publisher.py
+++ b/src/agatethread/registry/_publisher.py
@@ -93,7 +93,7 @@
         #: Greeted entry instances of the own failure domain that have not polled yet.
         self._greeted: dict[bytes, Subscriber] = {}
         self._sightings = SightingPool()
-        self._watchers = ProbingEntries()
+        self._probing = ProbingEntries(lambda: len(list(self.list_other_controls())))
         self._ranks: dict[bytes, EntryRank] = {}
         #: Entry instances of the own failure domain that polled within the lease.
         self._own_domain_count = 0
@@ -125,7 +125,7 @@
         tuple of KnownEntry
             Ordered by address.
         """
-        known = {e.address: e for e in self._watchers.list_recent(self._now_s())}
+        known = {e.address: e for e in self._probing.list_recent(self._now_s())}
         for address, subscriber in self._subscribers.items():
             if not subscriber.is_control:
                 known[address] = KnownEntry(address, subscriber.failure_domain)
@@ -174,7 +174,7 @@
             self._notify_waiters()
             return
         if poll.probe and poll.failure_domain != self._failure_domain:
-            self._watchers.store_probe(address, poll.failure_domain, self._now_s())
+            self._probing.store_probe(address, poll.failure_domain, self._now_s())
             self._send(self._make_greeting(), address)
             return
         subscriber = self._subscribers.get(address)
--- a/tests/registry/test_probing.py
+++ b/tests/registry/test_probing.py
@@ -112,6 +112,16 @@
                 self.assertEqual(losses(handler), [lost])
                 self.assertLessEqual(silent_s, LEASE_S + POLL_INTERVAL_S)
 
+    def test_probed_instances_remember_the_entry_instance_between_its_turns(self):
+        """With many control instances, a turn takes longer than with few."""
+        world = make_world(16)
+        world.step(200)
+        for _ in range(20):
+            world.step(10)
+            for number in range(2, 18):
+                (known,) = world.publisher(number).known_entries()
+                self.assertEqual(known.address, world.entry_address)
+
     def test_each_instance_behind_a_partition_is_logged(self):
         """All are found lost soon, and reachable again after it."""
         for other_count, seed in itertools.product((4, 10), range(5)):
