--- a/src/agatethread/control/_log.py
+++ b/src/agatethread/control/_log.py
@@ -141,6 +141,11 @@
         ----------
         last_index : int
             Index of the last entry that stays.
+
+        Raises
+        ------
+        DiskFullError
+            If they could not be deleted; nothing has changed.
         """
         remaining_count = last_index - self.snapshot_index
         self._storage.truncate(remaining_count)
--- a/src/agatethread/control/_storage.py
+++ b/src/agatethread/control/_storage.py
@@ -1,24 +1,25 @@
 """Durable term, vote, log and snapshot of one control instance.
 
-A log record is a header (length, CRC-32 of the entry, CRC-32 of these two fields) and
-the entry. Writes are synced before they are acknowledged.
+Writes are synced before they are acknowledged; a failed one is undone.
 """
 
-import errno
 import os
 import struct
-import zlib
 from dataclasses import dataclass
 from pathlib import Path
 
 from google.protobuf.message import DecodeError, Message
 
+from agatethread.control._log_file import LogFile
+from agatethread.control._log_records import (
+    HEADER_BYTES,
+    decode_record,
+    encode_record,
+    is_torn,
+)
 from agatethread.exceptions import DiskFullError, LogCorruptError
 from agatethread.wire.control_pb2 import ControlState, HardState, LogEntry
 
-_HEADER_FIELDS = struct.Struct("!II")
-_CHECKSUM = struct.Struct("!I")
-HEADER_BYTES = _HEADER_FIELDS.size + _CHECKSUM.size
 _LOG, _SNAPSHOT, _HARD_STATE, _COMMIT = "log", "snapshot", "hard_state", "commit"
 #: Folder that corrupt files are moved to; later ones replace earlier ones.
 _DAMAGED = "damaged"
@@ -36,45 +37,6 @@
     commit_index: int = 0
 
 
-def _encode_record(payload: bytes) -> bytes:
-    fields = _HEADER_FIELDS.pack(len(payload), zlib.crc32(payload))
-    return fields + _CHECKSUM.pack(zlib.crc32(fields)) + payload
-
-
-def _read_header(data: bytes, offset: int) -> tuple[int, int] | None:
-    """Return length and checksum of a header, or None if it is corrupt."""
-    fields = data[offset : offset + _HEADER_FIELDS.size]
-    (expected,) = _CHECKSUM.unpack_from(data, offset + _HEADER_FIELDS.size)
-    return _HEADER_FIELDS.unpack(fields) if zlib.crc32(fields) == expected else None
-
-
-def _decode_record(data: bytes, offset: int) -> bytes | None:
-    """Return the payload of a record, or None if it is incomplete or corrupt."""
-    start = offset + HEADER_BYTES
-    if start > len(data):
-        return None
-    header = _read_header(data, offset)
-    if header is None:
-        return None
-    length, checksum = header
-    payload = data[start : start + length]
-    if len(payload) != length or zlib.crc32(payload) != checksum:
-        return None
-    return payload
-
-
-def _is_torn(data: bytes, offset: int) -> bool:
-    """Return whether a corrupt record is the last one in the file."""
-    start = offset + HEADER_BYTES
-    if start > len(data):
-        return True
-    header = _read_header(data, offset)
-    if header is None:
-        # After a crash the end of the file may be zeros.
-        return not any(data[offset:])
-    return start + header[0] >= len(data)
-
-
 def _parse(message_type: type[Message], payload: bytes) -> Message:
     try:
         return message_type.FromString(payload)
@@ -96,16 +58,14 @@
     def __init__(self, data_dir: str):
         self._folder = Path(data_dir)
         self._folder.mkdir(parents=True, exist_ok=True)
-        self._log_file = None
+        self._log_file = LogFile(self._folder / _LOG, self._sync_folder)
         self._commit_index_file = None
         self._is_closed = False
-        self._offsets: list[int] = []
-        self._size_bytes = 0
 
     @property
     def size_bytes(self) -> int:
         """Size of the log file."""
-        return self._size_bytes
+        return self._log_file.size_bytes
 
     def recover(self) -> RecoveredState:
         """Read the files; an incomplete or corrupt last record of the log is deleted.
@@ -133,7 +93,7 @@
         path = self._folder / _COMMIT
         if not path.exists():
             return 0
-        payload = _decode_record(path.read_bytes(), 0)
+        payload = decode_record(path.read_bytes(), 0)
         # Written without a sync, so it may be incomplete; it is only a hint.
         return _INDEX.unpack(payload)[0] if payload else 0
 
@@ -176,7 +136,7 @@
                 self._commit_index_file = open(
                     self._folder / _COMMIT, "wb", buffering=0
                 )
-            record = _encode_record(_INDEX.pack(index))
+            record = encode_record(_INDEX.pack(index))
             os.pwrite(self._commit_index_file.fileno(), record, 0)
         except OSError as error:
             raise DiskFullError(str(error)) from None
@@ -200,7 +160,7 @@
         path = self._folder / name
         if not path.exists():
             return b""
-        payload = _decode_record(path.read_bytes(), 0)
+        payload = decode_record(path.read_bytes(), 0)
         if payload is None:
             raise LogCorruptError(f"{path}: checksum does not match")
         return payload
@@ -213,9 +173,9 @@
         entries: list[LogEntry] = []
         offset = 0
         while offset < len(data):
-            payload = _decode_record(data, offset)
+            payload = decode_record(data, offset)
             if payload is None:
-                if not _is_torn(data, offset):
+                if not is_torn(data, offset):
                     raise LogCorruptError(
                         f"{path}: offset {offset}: checksum does not match"
                     )
@@ -242,7 +202,7 @@
         DiskFullError
             If it could not be written.
         """
-        self._replace_file(_HARD_STATE, _encode_record(hard_state.SerializeToString()))
+        self._replace_file(_HARD_STATE, encode_record(hard_state.SerializeToString()))
 
     def save_snapshot(self, snapshot: ControlState, remaining: list[LogEntry]) -> None:
         """Write a snapshot and reduce the log to the entries after it.
@@ -261,7 +221,7 @@
             have been replaced already.
         """
         payload = snapshot.SerializeToString(deterministic=True)
-        self._replace_file(_SNAPSHOT, _encode_record(payload))
+        self._replace_file(_SNAPSHOT, encode_record(payload))
         self.replace_log(remaining)
 
     def replace_log(self, entries: list[LogEntry]) -> None:
@@ -277,16 +237,8 @@
         DiskFullError
             If it could not be written; the old log stays.
         """
-        records = [_encode_record(entry.SerializeToString()) for entry in entries]
-        self._replace_file(_LOG, b"".join(records))
-        if self._log_file is not None:
-            self._log_file.close()
-        self._log_file = open(self._folder / _LOG, "ab", buffering=0)
-        self._offsets = []
-        self._size_bytes = 0
-        for record in records:
-            self._offsets.append(self._size_bytes)
-            self._size_bytes += len(record)
+        self._raise_if_closed()
+        self._log_file.replace([entry.SerializeToString() for entry in entries])
 
     def append(self, entries: list[LogEntry]) -> None:
         """Append entries to the log and sync them.
@@ -302,34 +254,23 @@
             If they could not be written; the log is unchanged.
         """
         self._raise_if_closed()
-        records = [_encode_record(entry.SerializeToString()) for entry in entries]
-        data = b"".join(records)
-        try:
-            written_bytes = self._log_file.write(data)
-            if written_bytes != len(data):
-                raise OSError(errno.ENOSPC, "short write")
-            os.fsync(self._log_file.fileno())
-        except OSError as error:
-            os.ftruncate(self._log_file.fileno(), self._size_bytes)
-            raise DiskFullError(str(error)) from None
-        for record in records:
-            self._offsets.append(self._size_bytes)
-            self._size_bytes += len(record)
+        self._log_file.append([entry.SerializeToString() for entry in entries])
 
     def truncate(self, remaining_count: int) -> None:
-        """Delete entries at the end of the log and sync it.
+        """Delete entries at the end of the log; the next append syncs it.
 
         Parameters
         ----------
         remaining_count : int
             Number of entries that stay, from the first in the file.
+
+        Raises
+        ------
+        DiskFullError
+            If they could not be deleted; the log is unchanged.
         """
-        if remaining_count >= len(self._offsets):
-            return
-        self._size_bytes = self._offsets[remaining_count]
-        del self._offsets[remaining_count:]
-        os.ftruncate(self._log_file.fileno(), self._size_bytes)
-        os.fsync(self._log_file.fileno())
+        self._raise_if_closed()
+        self._log_file.truncate(remaining_count)
 
     def _replace_file(self, name: str, data: bytes) -> None:
         self._raise_if_closed()
@@ -385,9 +326,7 @@
     def close(self) -> None:
         """Close the files; later writes raise an error."""
         self._is_closed = True
-        if self._log_file is not None:
-            self._log_file.close()
-            self._log_file = None
+        self._log_file.close()
         if self._commit_index_file is not None:
             self._commit_index_file.close()
             self._commit_index_file = None
--- /dev/null
+++ b/tests/control/test_disk_faults.py
@@ -0,0 +1,107 @@
+import contextlib
+import os
+import random
+import shutil
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from agatethread.control import LogStorage
+from agatethread.control._log import ReplicatedLog
+from agatethread.exceptions import DiskFullError
+from agatethread.wire.control_pb2 import (
+    ControlState,
+    LogEntry,
+)
+
+#: Calls of the operating system that fail here.
+CALLS = ("fsync", "ftruncate", "replace")
+
+
+@contextlib.contextmanager
+def failing(name, nth, count):
+    """Let some calls in a row fail, beginning with the `nth` from now."""
+    original, calls = getattr(os, name), 0
+
+    def call(*arguments):
+        nonlocal calls
+        calls += 1
+        if nth <= calls < nth + count:
+            raise OSError(5, "Input/output error")
+        return original(*arguments)
+
+    with mock.patch(f"os.{name}", call):
+        yield
+
+
+class LogOnFaultyDisk:
+    """A log whose files are compared with memory after each operation."""
+
+    def __init__(self, folder, generator):
+        self.folder, self.random = folder, generator
+        self.term = 1
+        self.storage = LogStorage(str(folder))
+        recovered = self.storage.recover()
+        self.log = ReplicatedLog(self.storage, recovered.snapshot, recovered.entries)
+
+    def append(self):
+        first = self.log.last_index + 1
+        entries = [
+            LogEntry(index=index, term=self.term, command=os.urandom(30))
+            for index in range(first, first + self.random.randint(1, 4))
+        ]
+        self.log.append(entries)
+
+    def overwrite(self):
+        """Replace entries at the end as those of another leader do."""
+        self.term += 1
+        kept = self.random.randint(self.log.snapshot_index, self.log.last_index)
+        self.log.truncate_after(kept)
+        self.append()
+
+    def compact(self):
+        index = self.random.randint(self.log.snapshot_index, self.log.last_index)
+        term = self.log.term_at(index)
+        self.log.compact(ControlState(last_index=index, last_term=term))
+
+    def play(self):
+        """Run one operation, which may fail; any other error ends the test."""
+        step = self.random.choice(
+            (self.append, self.append, self.overwrite, self.compact)
+        )
+        fault = contextlib.nullcontext()
+        if self.random.random() < 0.5:
+            name = self.random.choice(CALLS)
+            fault = failing(name, self.random.randint(1, 3), self.random.randint(1, 3))
+        with fault, contextlib.suppress(DiskFullError):
+            step()
+
+    def entries(self):
+        return self.log.entries_between(self.log.snapshot_index, self.log.last_index)
+
+    def recover_copy(self):
+        """Return what a restart would recover: snapshot index and entries."""
+        with tempfile.TemporaryDirectory() as name:
+            copy = Path(name) / "disk"
+            shutil.copytree(self.folder, copy)
+            storage = LogStorage(str(copy))
+            try:
+                recovered = storage.recover()
+            finally:
+                storage.close()
+            return recovered.snapshot.last_index, recovered.entries
+
+
+class TestFaultyDisk(unittest.TestCase):
+    def test_acknowledged_entries_survive_failed_calls(self):
+        """A restart finds just what memory held, whichever call failed before."""
+        for seed in range(150):
+            with self.subTest(seed=seed), tempfile.TemporaryDirectory() as name:
+                faulty = LogOnFaultyDisk(Path(name), random.Random(seed))
+                for _ in range(12):
+                    faulty.play()
+                    snapshot_index, entries = faulty.recover_copy()
+                    held = [e for e in faulty.entries() if e.index > snapshot_index]
+                    self.assertEqual(entries, held)
+                faulty.storage.close()
--- a/tests/control/test_routing_control.py
+++ b/tests/control/test_routing_control.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 from agatethread.control import RoutingControlInstance, RoutingControlSettings
+from agatethread.control._log_records import HEADER_BYTES
 from agatethread.control._members import voter_names
-from agatethread.control._storage import HEADER_BYTES
 from agatethread.exceptions import (
     AgatethreadError,
     DocumentError,
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -8,7 +8,7 @@
 
 from agatethread.control import LogStorage
 from agatethread.control._log import ReplicatedLog
-from agatethread.control._storage import HEADER_BYTES, _encode_record
+from agatethread.control._log_records import HEADER_BYTES, encode_record
 from agatethread.exceptions import DiskFullError, LogCorruptError
 from agatethread.wire.control_pb2 import ControlState, HardState, LogEntry
 
@@ -57,7 +57,7 @@
     def test_rejects_undecodable_record(self):
         """A record with a valid checksum that can't be decoded counts as corrupt."""
         storage = LogStorage(str(self.folder))
-        (self.folder / "snapshot").write_bytes(_encode_record(b"\xff" * 9))
+        (self.folder / "snapshot").write_bytes(encode_record(b"\xff" * 9))
         with self.assertRaises(LogCorruptError):
             storage.recover()
 
