--- a/src/agatethread/control/_log_opening.py
+++ b/src/agatethread/control/_log_opening.py
@@ -48,22 +48,31 @@
         The member, not started; None if the instance stops.
     """
     while not should_stop():
+        node = _try_to_open(settings, make_node)
+        if node is not None:
+            return node
+        await sleep(_RETRY_INTERVAL_S)
+    return None
+
+
+def _try_to_open(
+    settings: RoutingControlSettings, make_node: Callable[[str, LogStorage], RaftNode]
+) -> RaftNode | None:
+    storage = None
+    try:
         storage = LogStorage(settings.data_dir)
-        try:
-            name = load_or_create_member_name(
-                storage, settings.target, settings.is_first_start, settings.seeds
-            )
-            node = make_node(name, storage)
-        except LogCorruptError as error:
-            log.error(Event.LOG_SET_ASIDE, error=str(error))
-            _set_aside(storage)
-        except DiskFullError as error:
-            log.error(Event.LOG_NOT_OPENED, error=str(error))
-        else:
-            if not should_stop():
-                return node
+        name = load_or_create_member_name(
+            storage, settings.target, settings.is_first_start, settings.seeds
+        )
+        return make_node(name, storage)
+    except LogCorruptError as error:
+        log.error(Event.LOG_SET_ASIDE, error=str(error))
+        _set_aside(storage)
+    except (DiskFullError, OSError) as error:
+        # A file that can't be read raises OSError.
+        log.error(Event.LOG_NOT_OPENED, error=str(error))
+    if storage is not None:
         storage.close()
-        await sleep(_RETRY_INTERVAL_S)
     return None
 
 
--- a/tests/control/test_disk_faults.py
+++ b/tests/control/test_disk_faults.py
@@ -7,9 +7,11 @@
 from pathlib import Path
 from unittest import mock
 
-from agatethread.control import LogStorage
+from agatethread.control import LogStorage, RaftNode
 from agatethread.control._log import ReplicatedLog
+from agatethread.control._log_opening import open_log
 from agatethread.exceptions import DiskFullError
+from agatethread.settings import ControlSettings
 from agatethread.wire.control_pb2 import (
     ControlState,
     LogEntry,
@@ -105,3 +107,41 @@
                     held = [e for e in faulty.entries() if e.index > snapshot_index]
                     self.assertEqual(entries, held)
                 faulty.storage.close()
+
+
+class TestMemberOnFaultyDisk(unittest.IsolatedAsyncioTestCase):
+    """One member of a Raft log whose disk fails at chosen moments."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.now_s = 0.0
+
+    def make_node(self, peers=None):
+        storage = LogStorage(str(self.folder))
+        self.addCleanup(storage.close)
+        return RaftNode(
+            "a", ControlSettings("x"), storage, peers or {}, lambda: self.now_s
+        )
+
+    async def test_log_that_cannot_be_read_is_opened_later(self):
+        """An error of the system does not end the attempts."""
+        settings = mock.Mock(
+            data_dir=str(self.folder), target="x", is_first_start=True, seeds=()
+        )
+        self.make_node()._storage.close()
+        pauses = []
+
+        async def sleep(_):
+            pauses.append(1)
+
+        names = mock.Mock(side_effect=[OSError(5, "Input/output error"), "a"])
+        with mock.patch(
+            "agatethread.control._log_opening.load_or_create_member_name", names
+        ):
+            node = await open_log(
+                settings, lambda name, storage: storage, lambda: False, sleep
+            )
+        self.addCleanup(node.close)
+        self.assertEqual(len(pauses), 1)
