--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -273,10 +273,20 @@
             reply = await peer.vote(request)
         except UnavailableError:
             return False
+        if self.should_stop:
+            return False
         if reply.term > self.term and not reply.granted:
-            self._adopt_term(reply.term)
+            self._adopt_term_of_reply(reply.term)
         return reply.granted
 
+    def _adopt_term_of_reply(self, term: int) -> None:
+        try:
+            self._adopt_term(term)
+        except DiskFullError as error:
+            # The task of a reply that comes after the majority is not awaited.
+            log.error(Event.TERM_NOT_SAVED, error=str(error))
+            self._disk_health.pause_candidacy()
+
     def _adopt_term(self, term: int) -> None:
         if term > self.term:
             self._vote_state.adopt_term(term)
--- a/tests/control/test_disk_faults.py
+++ b/tests/control/test_disk_faults.py
@@ -7,14 +7,19 @@
 from pathlib import Path
 from unittest import mock
 
-from agatethread.control import LogStorage, RaftNode
+from logbook import TestHandler
+
+from agatethread.control import LogStorage, PeerCalls, RaftNode
 from agatethread.control._log import ReplicatedLog
 from agatethread.control._log_opening import open_log
 from agatethread.exceptions import DiskFullError
+from agatethread.observability import Event
 from agatethread.settings import ControlSettings
 from agatethread.wire.control_pb2 import (
     ControlState,
     LogEntry,
+    VoteReply,
+    VoteRequest,
 )
 
 #: Calls of the operating system that fail here.
@@ -125,6 +130,32 @@
             "a", ControlSettings("x"), storage, peers or {}, lambda: self.now_s
         )
 
+    async def test_stopped_member_adopts_no_term(self):
+        """A reply that comes after the stop changes nothing on the disk."""
+
+        async def vote(_):
+            await node.stop()
+            return VoteReply(term=9)
+
+        node = self.make_node({"b": PeerCalls(vote, vote, vote)})
+        before = sorted(self.folder.iterdir())
+        granted = await node._request_vote(node._get_peer("b"), VoteRequest(term=1))
+        self.assertFalse(granted)
+        self.assertEqual(node.term, 0)
+        self.assertEqual(sorted(self.folder.iterdir()), before)
+
+    async def test_term_of_a_late_reply_that_is_not_saved_is_logged(self):
+        """The task of the reply is not awaited, so that an error would be lost."""
+
+        async def vote(_):
+            return VoteReply(term=9)
+
+        node = self.make_node({"b": PeerCalls(vote, vote, vote)})
+        with failing("fsync", 1, 1), TestHandler() as handler:
+            await node._request_vote(node._get_peer("b"), VoteRequest(term=1))
+        self.assertTrue(handler.has_error(Event.TERM_NOT_SAVED))
+        self.assertEqual(node.term, 0)
+
     async def test_log_that_cannot_be_read_is_opened_later(self):
         """An error of the system does not end the attempts."""
         settings = mock.Mock(
