--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -293,21 +293,22 @@
             self._become_follower("")
 
     def _become_follower(self, leader: str) -> None:
-        if self.role is Role.LEADER:
-            log.info(Event.LEADERSHIP_ENDED, term=self.term, leader=leader)
-            self._fail_pending()
+        has_led = self.role is Role.LEADER
         self.role = Role.FOLLOWER
         self.leader = leader
+        if has_led:
+            log.info(Event.LEADERSHIP_ENDED, term=self.term, leader=leader)
+            self._fail_pending()
 
     def _become_leader(self) -> None:
+        self._vote_state.enable_voting()
+        # A leader commits entries of earlier terms only with one of its own term.
+        self._log.append([LogEntry(index=self.last_index + 1, term=self.term)])
         log.info(Event.LEADERSHIP_STARTED, term=self.term, last_index=self.last_index)
         self.role = Role.LEADER
         self.leader = self.name
         self._disk_health.record_success()
-        self._vote_state.enable_voting()
         self._followers.clear()
-        # A leader commits entries of earlier terms only with one of its own term.
-        self._log.append([LogEntry(index=self.last_index + 1, term=self.term)])
         self._update_followers()
         self._advance_commit()
 
--- a/tests/control/test_disk_faults.py
+++ b/tests/control/test_disk_faults.py
@@ -9,7 +9,7 @@
 
 from logbook import TestHandler
 
-from agatethread.control import LogStorage, PeerCalls, RaftNode
+from agatethread.control import LogStorage, PeerCalls, RaftNode, Role
 from agatethread.control._log import ReplicatedLog
 from agatethread.control._log_opening import open_log
 from agatethread.exceptions import DiskFullError
@@ -156,6 +156,27 @@
         self.assertTrue(handler.has_error(Event.TERM_NOT_SAVED))
         self.assertEqual(node.term, 0)
 
+    async def test_leader_whose_first_entry_is_not_written_does_not_lead(self):
+        """It would refuse changes for ever, with no entry of its own term."""
+        node = self.make_node()
+        self.addAsyncCleanup(node.stop)
+        node._vote_state.enable_voting()
+        with failing("fsync", 3, 1), self.assertRaises(DiskFullError):
+            await node._run_election()
+        self.assertIsNot(node.role, Role.LEADER)
+        await node._run_election()
+        self.assertIs(node.role, Role.LEADER)
+        self.assertTrue(node.has_committed_in_term)
+
+    async def test_deposed_leader_names_no_leader(self):
+        """A caller that is sent to the leader must not come back to this member."""
+        node = self.make_node()
+        self.addAsyncCleanup(node.stop)
+        await node._run_election()
+        confirmation = node._confirmations.start()
+        node._become_follower("")
+        self.assertEqual(confirmation.exception().leader, "")
+
     async def test_log_that_cannot_be_read_is_opened_later(self):
         """An error of the system does not end the attempts."""
         settings = mock.Mock(
