--- a/src/agatethread/client/_stream.py
+++ b/src/agatethread/client/_stream.py
@@ -126,6 +126,11 @@
     def _finish(self) -> None:
         self.is_closed = True
         self._pushes.put_nowait(None)
+        if not self._opened.done():
+            reason = self._failure_reason or "the stream was closed"
+            self._opened.set_exception(FlowBrokenError(reason))
+            # Nobody waits if the stream was closed before `open`.
+            self._opened.exception()
 
     def _fail(self, reason: str) -> None:
         self._failure_reason = reason
@@ -187,9 +192,10 @@
         return self
 
     async def __anext__(self) -> bytes:
-        push = await self._pushes.get()
-        if push is not None:
-            return push
+        if not self.is_closed or not self._pushes.empty():
+            push = await self._pushes.get()
+            if push is not None:
+                return push
         if self._failure_reason:
             raise FlowBrokenError(self._failure_reason)
         raise StopAsyncIteration
