--- a/src/agatethread/cli/_explanation.py
+++ b/src/agatethread/cli/_explanation.py
@@ -130,7 +130,17 @@
         return cause_of_reset(last, run_lines, all_lines)
     if last.event == Event.PACKET_DROPPED:
         return _cause_of_drop(last, all_lines)
-    return _cause_after_placement(last, run_lines)
+    if last.event == Event.FLOW_PLACED:
+        return _cause_after_placement(last, run_lines)
+    return last, _describe_unplaced(last)
+
+
+def _describe_unplaced(last: LogLine) -> str:
+    """Return what became of an opening whose last line places it nowhere."""
+    cause = f"{last.instance} says: {last.event}"
+    if last.event in (Event.OPENING_RELAYED, Event.OPENING_HANDED_OVER):
+        return f"{cause}, to {last.fields.get('dispatcher')}; no later line names it"
+    return cause
 
 
 def _cause_of_drop(drop: LogLine, all_lines: Sequence[LogLine]) -> tuple[LogLine, str]:
--- a/src/agatethread/cli/_log_lines.py
+++ b/src/agatethread/cli/_log_lines.py
@@ -44,7 +44,8 @@
 
     def names_run(self, run: str) -> bool:
         """Return whether the line names a run of a backend server."""
-        return run in (self.fields.get("run"), self.fields.get("holder"))
+        named = (self.fields.get("run"), self.fields.get("holder"))
+        return run is not None and run in named
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/cli/test_explanation.py
+++ b/tests/cli/test_explanation.py
@@ -128,6 +128,22 @@
                 self.assertEqual(explanation.deciding.instance, "edge-2")
                 self.assertIn(cause, explanation.cause)
 
+    def test_opening_that_was_never_placed_has_no_run(self):
+        """The cause names the last step of it, and no failure of other runs."""
+        other = line(1.0, Event.BACKEND_AVOIDED, "edge-2", failures=2)
+        steps = {
+            Event.OPENING_RELAYED: "to d-1",
+            Event.OPENING_HANDED_OVER: "to d-1",
+            Event.OPENING_REFUSED: "no room in time",
+        }
+        for event, expected in steps.items():
+            with self.subTest(event):
+                last = line(1.1, event, flow=FLOW, dispatcher="d-1")
+                cause = explain_lines(other, last).cause
+                self.assertIn(expected, cause)
+                self.assertNotIn("None", cause)
+                self.assertNotIn("edge-2", cause)
+
     def test_finds_run_by_label(self):
         """A reset by an instance that did not place the flow still names the run."""
         explanation = explain_lines(
