--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -273,7 +273,9 @@
         Event.CONTROL_REACHABLE: frozenset({"address", "failure_domain", "settled"}),
         Event.FOLLOWS_OWN_DOMAIN: frozenset({"followed"}),
         Event.FOLLOWS_OTHER_DOMAINS: frozenset({"at_home", "unheard"}),
-        Event.CONTROL_UNREACHABLE: frozenset({"address", "failure_domain", "silent_s"}),
+        Event.CONTROL_UNREACHABLE: frozenset(
+            {"address", "failure_domain", "silent_s", "unanswered_s", "unanswered"}
+        ),
         Event.CHANGE_AGREED: frozenset(
             {"version", "version_before", "index", "term", "took_s"}
         ),
