--- a/src/agatethread/membership/_prober.py
+++ b/src/agatethread/membership/_prober.py
@@ -143,9 +143,21 @@
 
         self._counters["probe_failed"] += 1
         current = self._table.members.get(target.name)
-        if current is not None and current.ref == target.ref:
+        if current is None or current.ref != target.ref:
+            return
+        if current.state == MemberState.LEAVING:
+            await self._confirm_death(current)
+        else:
             self._table.suspect(current)
 
+    async def _confirm_death(self, leaving: Member) -> None:
+        # A leaving member is never suspected, so it can't refute: it is asked on.
+        deadline_s = self._timers.now_s() + self._suspicion_s
+        while self._timers.now_s() < deadline_s:
+            if await self._ping(leaving.address, Ping()):
+                return
+        self._table.declare_dead(leaving)
+
     async def _ping(self, address: bytes, ping: Ping) -> bool:
         ping.MergeFrom(self._new_ping())
         acknowledged = asyncio.get_running_loop().create_future()
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -195,6 +195,35 @@
 
         self.run_fleet(scenario)
 
+    def test_all_instances_detect_a_failure_while_leaving(self):
+        """A standby that waits for the death of its owner decides in its place."""
+
+        async def scenario(fleet):
+            fleet.tables[3].update_own_member(state=MemberState.LEAVING)
+            await asyncio.sleep(1)
+            fleet.isolate(3)
+            await asyncio.sleep(3)
+            for number in (1, 2, 4, 5):
+                self.assertEqual(fleet.live(number), [1, 2, 4, 5])
+
+        self.run_fleet(scenario)
+
+    def test_leaving_instance_survives_short_losses(self):
+        """It has no suspicion to refute, so it is asked again first."""
+
+        async def scenario(fleet):
+            fleet.tables[3].update_own_member(state=MemberState.LEAVING)
+            await asyncio.sleep(1)
+            for _ in range(8):
+                fleet.isolate(3)
+                await asyncio.sleep(0.45)
+                fleet.cut = set()
+                for number in (1, 2, 4, 5):
+                    self.assertIn(3, fleet.live(number))
+                await asyncio.sleep(0.6)
+
+        self.run_fleet(scenario)
+
     def test_indirect_probes_bypass_a_broken_path(self):
         """Two instances that can't reach each other directly stay alive."""
 
