--- a/review/1/case.py
+++ b/review/1/case.py
@@ -184,8 +184,7 @@
         await asyncio.sleep(max(0.0, _LOSS_DELAY_S - passed_s))
     reply = await operator.put(2, _ACK_S)
     if reply is None:
-        record.add("broken: no acknowledgement before the second loss")
-        return BROKEN
+        raise NotRunError("no acknowledgement before the second loss")
     if has_trouble():
         passed_s = record.now_s() - successor.started_s
         if passed_s < _CATCHUP_S:
--- a/review/harness.py
+++ b/review/harness.py
@@ -16,6 +16,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -268,12 +269,18 @@
     address: str = ""
 
 
-async def call(address: str, method: str, path: str, body: bytes = b"") -> Reply:
+async def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    timeout_s: float = CALL_TIMEOUT_S,
+) -> Reply:
     """Send a call to the control API, and follow redirects twice."""
     for _ in range(_MAX_REDIRECTS + 1):
         try:
             status, headers, answer = await asyncio.wait_for(
-                _call_once(address, method, path, body), CALL_TIMEOUT_S
+                _call_once(address, method, path, body), timeout_s
             )
         except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
             return Reply(0, b"", address)
@@ -316,12 +323,19 @@
     """
     record = Record(path / "record.txt")
     record.add(f"disruption: {'yes' if has_trouble() else 'no'}")
+    # As SIGINT does, so that all processes are ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         code = asyncio.run(case(record))
     except NotRunError as error:
         record.add(f"not run: {error}")
         print(f"not run: {error}", file=sys.stderr)
         code = NOT_RUN
+    except (Exception, KeyboardInterrupt):
+        # An error of the case shows nothing about the rule.
+        record.add(f"not run: {traceback.format_exc()}")
+        traceback.print_exc()
+        code = NOT_RUN
     record.add(f"exit code {code}")
     record.close()
     sys.exit(code)
