--- a/review/harness.py
+++ b/review/harness.py
@@ -7,7 +7,6 @@
 import asyncio
 import os
 import random
-import resource
 import shutil
 import signal
 import socket
@@ -216,12 +215,6 @@
             machine.process.send_signal(number)
             self._record.add(f"{number.name} to {machine.name}")
 
-    def fill_disk(self, machine: Machine) -> None:
-        """Let the process of a machine write to no file any more, as on a full disk."""
-        limits = (0, resource.RLIM_INFINITY)
-        resource.prlimit(machine.process.pid, resource.RLIMIT_FSIZE, limits)
-        self._record.add(f"the disk of {machine.name} is full")
-
     async def wait_for_exit(self, machine: Machine, timeout_s: float) -> None:
         """Wait for the end of a process; end it after a timeout."""
         deadline_s = time.monotonic() + timeout_s
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -6,10 +6,8 @@
 import secrets
 import struct
 import time
-from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
-from math import inf
 
 from harness import Record, call
 
@@ -96,8 +94,6 @@
             "max_connections": 2_000,
             "protocol": "h1",
             "tls_enabled": False,
-            "warmup_s": 2.0,
-            "warmup_per_s": 0.0,
         }
         for name in services
     ]
@@ -126,12 +122,12 @@
         Addresses of the control API; the next one is called after a failure.
     record : Record
         Receives reports that were not acknowledged.
-    on_opening : callable
-        Called with each opening packet that it takes and its time of arrival.
     work_s : float, optional
         Time that a request takes.
-    cold_limit : float, optional
-        Requests that it bears in a second while it is cold; it answers no others then.
+    has_born : bool, optional
+        Whether its reports hold `born`, the time of its start.
+    rotates : bool, optional
+        Whether each report goes to the next control instance.
     """
 
     def __init__(
@@ -144,9 +140,9 @@
         clients_port: int,
         control_addresses: Sequence[str],
         record: Record,
-        on_opening: Callable[["Endpoint", Packet, float], None],
         work_s: float = 0.02,
-        cold_limit: float = inf,
+        has_born: bool = True,
+        rotates: bool = False,
     ):
         self.name = name
         self.service = service
@@ -154,15 +150,13 @@
         self._host, self._port, self._clients_port = host, port, clients_port
         self._controls = list(control_addresses)
         self._record = record
-        self._on_opening = on_opening
         self._work_s = work_s
-        self._cold_limit = cold_limit
-        self._cold_requests_s: deque[float] = deque()
+        self._has_born = has_born
+        self._rotates = rotates
         self.instance_id = f"i-{secrets.token_hex(4)}"
         self._number = int(self.instance_id[2:], 16)
         self._born_ms = time.time_ns() // 1_000_000
         self._sequence = 0
-        self._cold_until_s = 0.0
         self._flows: dict[Key, int] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._listener: asyncio.Server | None = None
@@ -187,49 +181,46 @@
             self._transport.close()
             self._listener.close()
 
-    @property
-    def control(self) -> str:
-        """Address of the control API that its next report goes to."""
-        return self._controls[0]
-
-    def turn_cold(self, duration_s: float) -> None:
-        """Become cold for some time."""
-        self._cold_until_s = self._record.now_s() + duration_s
-
-    def is_cold(self, now_s: float) -> bool:
-        """Return whether it is cold at a time of the record."""
-        return now_s < self._cold_until_s
-
     async def _report_periodically(self) -> None:
         while True:
             await self._report()
             await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
 
+    def holds(self, key: Key) -> bool:
+        """Return whether it holds a flow."""
+        return key in self._flows
+
+    def make_report(self) -> tuple[str, bytes]:
+        """Return path and body of the next report."""
+        self._sequence += 1
+        status = {
+            "service": self.service,
+            "address": f"{self._host}:{self._port}",
+            "zone": self.zone,
+            "version": "v1",
+            "capacity": 2,
+            "state": "ready",
+            "warmup_remaining_ms": 0,
+            "sequence": self._sequence,
+        }
+        if self._has_born:
+            status["born"] = self._born_ms
+        return f"/api/endpoints/{self.instance_id}", json.dumps(status).encode()
+
     async def _report(self) -> None:
         """Send a report; after a failure call the next control instance."""
         for _ in range(len(self._controls)):
-            self._sequence += 1
             sent_s = self._record.now_s()
-            warm_up_s = max(0.0, self._cold_until_s - sent_s)
-            status = {
-                "service": self.service,
-                "address": f"{self._host}:{self._port}",
-                "zone": self.zone,
-                "version": "v1",
-                "capacity": 2,
-                "state": "ready",
-                "warmup_remaining_ms": round(1_000 * warm_up_s),
-                "sequence": self._sequence,
-                "born": self._born_ms,
-            }
-            path = f"/api/endpoints/{self.instance_id}"
-            body = json.dumps(status).encode()
+            path, body = self.make_report()
             reply = await call(self._controls[0], "PUT", path, body)
-            if reply.status // 100 == 2:
+            is_acknowledged = reply.status // 100 == 2
+            if not is_acknowledged:
+                self._record.add(f"{self.name}: no answer from {self._controls[0]}")
+            if self._rotates or not is_acknowledged:
+                self._controls.append(self._controls.pop(0))
+            if is_acknowledged:
                 self.reported_s = sent_s
                 return
-            self._record.add(f"{self.name}: no answer from {self._controls[0]}")
-            self._controls.append(self._controls.pop(0))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Handle a datagram of an entry machine."""
@@ -238,7 +229,6 @@
             return
         packet = decode(data[_RUN_NUMBER.size :])
         if packet.flags & SYN:
-            self._on_opening(self, packet, self._record.now_s())
             seq = self._flows.setdefault(packet.key, secrets.randbits(31))
             self._send(packet, SYN | ACK, seq, packet.seq + 1)
         elif packet.key not in self._flows:
@@ -248,19 +238,10 @@
             del self._flows[packet.key]
             if packet.flags & FIN:
                 self._send(packet, FIN | ACK, packet.ack, packet.seq + 1)
-        elif packet.data and self._bears_request():
+        elif packet.data:
             loop = asyncio.get_running_loop()
             loop.call_later(self._work_s, self._answer, packet)
 
-    def _bears_request(self) -> bool:
-        now_s = self._record.now_s()
-        if not self.is_cold(now_s):
-            return True
-        self._cold_requests_s.append(now_s)
-        while self._cold_requests_s[0] < now_s - 1:
-            self._cold_requests_s.popleft()
-        return len(self._cold_requests_s) <= self._cold_limit
-
     def _answer(self, packet: Packet) -> None:
         if self._transport.is_closing():
             return
@@ -297,17 +278,25 @@
     return packet
 
 
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """A client's request on a flow of its own, and how it ended."""
+@dataclass(slots=True)
+class OpenFlow:
+    """A flow that a client keeps open, and the reset that it got, if any."""
 
     key: Key
-    sent_s: float
-    outcome: str
+    queue: asyncio.Queue[Packet]
+    echo: int = 0
+    seq: int = 2
+    ack: int = 0
+    #: Name of the endpoint, from its first answer.
+    endpoint: str = ""
+    last_packet_s: float = 0.0
+    reset_s: float = 0.0
+    #: Host that sent the reset.
+    reset_by: str = ""
 
 
 class Client(asyncio.DatagramProtocol):
-    """A client that sends each request on a flow of its own.
+    """A client that keeps flows open.
 
     Parameters
     ----------
@@ -315,8 +304,8 @@
         Address of the client.
     port : int
         Port at which all clients receive.
-    choose_entry : callable
-        Returns the address of the entry machine for a flow.
+    entry : tuple of (str, int)
+        Address of the entry machine that takes its packets.
     record : Record
         Clock of the run.
     """
@@ -325,20 +314,17 @@
         self,
         host: str,
         port: int,
-        choose_entry: Callable[[Key], tuple[str, int]],
+        entry: tuple[str, int],
         record: Record,
     ):
         self._number = to_number(host)
         self._address = (host, port)
-        self._choose_entry = choose_entry
+        self._entry = entry
         self._record = record
         self._next_port = random.randrange(10_000, 30_000)
         self._flows: dict[Key, asyncio.Queue[Packet]] = {}
+        self._open_flows: dict[Key, OpenFlow] = {}
         self._transport: asyncio.DatagramTransport | None = None
-        self.attempts: list[Attempt] = []
-        #: When the opening packet of each flow was first sent.
-        self.started_s: dict[Key, float] = {}
-        self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Open the socket."""
@@ -348,51 +334,56 @@
         )
 
     def stop(self) -> None:
-        """Close the socket and end the requests in progress."""
-        for task in self._tasks:
-            task.cancel()
+        """Close the socket."""
         if self._transport is not None:
             self._transport.close()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Pass a packet to its flow."""
         packet = decode(data)
-        queue = self._flows.get((packet.dst, packet.dport, packet.src, packet.sport))
+        key = (packet.dst, packet.dport, packet.src, packet.sport)
+        open_flow = self._open_flows.get(key)
+        if open_flow is not None and packet.flags & RST and not open_flow.reset_by:
+            open_flow.reset_s, open_flow.reset_by = self._record.now_s(), addr[0]
+        queue = self._flows.get(key)
         if queue is not None:
             queue.put_nowait(packet)
 
-    def request(self, route: tuple[str, int]) -> None:
-        """Start a request to a route."""
-        task = asyncio.ensure_future(self._run(route))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _run(self, route: tuple[str, int]) -> None:
-        self._next_port += 1
-        key = (self._number, self._next_port, to_number(route[0]), route[1])
-        queue = self._flows[key] = asyncio.Queue()
-        sent_s = self.started_s[key] = self._record.now_s()
-        try:
-            outcome = await self._exchange(key, queue)
-        finally:
-            del self._flows[key]
-        self.attempts.append(Attempt(key, sent_s, outcome))
-
-    async def _exchange(self, key: Key, queue: asyncio.Queue[Packet]) -> str:
-        opened = await self._open(key, queue)
+    async def open_flow(self, route: tuple[str, int]) -> OpenFlow | None:
+        """Open a flow, send a request on it and keep it open; None if that failed."""
+        key = self._make_key(route)
+        flow = OpenFlow(key, asyncio.Queue())
+        self._flows[key] = flow.queue
+        opened = await self._open(key, flow.queue)
         if opened is None or opened.flags & RST:
-            return "reset" if opened else "not opened"
-        seq, ack = 2, opened.seq + 1
-        self._send(key, ACK, seq, ack, opened.echo, b"request")
+            return None
+        flow.echo, flow.ack = opened.echo, opened.seq + 1
+        self._open_flows[key] = flow
+        return flow if await self.request_on(flow) else None
+
+    async def request_on(self, flow: OpenFlow) -> bool:
+        """Send a request on an open flow; return whether it was answered."""
+        data = b"request"
+        flow.last_packet_s = self._record.now_s()
+        self._send(flow.key, ACK, flow.seq, flow.ack, flow.echo, data)
         try:
-            answer = await asyncio.wait_for(_next_answer(queue), _REQUEST_TIMEOUT_S)
+            answer = await asyncio.wait_for(
+                _next_answer(flow.queue), _REQUEST_TIMEOUT_S
+            )
         except TimeoutError:
-            return "no answer"
+            return False
         if answer.flags & RST:
-            return "reset"
-        end = ack + len(answer.data)
-        self._send(key, FIN | ACK, seq + len(b"request"), end, answer.echo)
-        return answer.data.decode()
+            return False
+        flow.seq += len(data)
+        flow.ack += len(answer.data)
+        flow.echo = answer.echo
+        flow.endpoint = answer.data.decode().split(" ", 1)[1]
+        self._send(flow.key, ACK, flow.seq, flow.ack, flow.echo)
+        return True
+
+    def _make_key(self, route: tuple[str, int]) -> Key:
+        self._next_port += 1
+        return (self._number, self._next_port, to_number(route[0]), route[1])
 
     async def _open(self, key: Key, queue: asyncio.Queue[Packet]) -> Packet | None:
         started_s = self._record.now_s()
@@ -409,4 +400,4 @@
         self, key: Key, flags: int, seq: int, ack: int, echo: int, data: bytes = b""
     ) -> None:
         packet = Packet(echo, *key, flags, seq, ack, data)
-        self._transport.sendto(encode(packet), self._choose_entry(key))
+        self._transport.sendto(encode(packet), self._entry)
