--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -2,6 +2,7 @@
 
 from agatethread.datapath._evidence import ProbeOutcome, UnreachableVerdict
 from agatethread.datapath._packets import FlowKey
+from agatethread.datapath._probe_record import ProbeRecord
 from agatethread.observability import Event, make_logger
 from agatethread.registry import derive_label
 from agatethread.settings import DEFAULT_POLICIES, Policies
@@ -24,13 +25,6 @@
 #: 4 s after which the end of a cut no longer excuses a reset.
 _UNREACHABLE_VALID_S = 2.0
 _MAX_WAITING_FLOWS = 64
-#: Time of an event that has not happened.
-_NEVER_S = float("-inf")
-#: Age up to which a failed connection shows that a run can't be reached.
-_PROBE_VALID_S = 1.0
-#: Time from an accepted and from a failed connection to the next one.
-_ACCEPTED_PROBE_INTERVAL_S = 0.5
-_FAILED_PROBE_INTERVAL_S = 0.2
 
 log = make_logger("backends")
 
@@ -72,10 +66,7 @@
         "_max_avoidance_s",
         "number",
         "penalty_until_s",
-        "probe_accepted_s",
-        "probe_failed_before_s",
-        "probe_failed_s",
-        "probe_not_before_s",
+        "probes",
         "report_age_s",
         "reporting",
         "restored",
@@ -168,14 +159,8 @@
         self.unreachable = False
         #: Time of the last evidence of a missing answer.
         self.last_unanswered_s = 0.0
-        #: When the last two failed connections in a row were begun; a refused one
-        #: counts as two.
-        self.probe_failed_s = _NEVER_S
-        self.probe_failed_before_s = _NEVER_S
-        #: When the last accepted connection was begun.
-        self.probe_accepted_s = 0.0
-        #: Time from which it may be probed again.
-        self.probe_not_before_s = 0.0
+        #: Connections to it.
+        self.probes = ProbeRecord()
         #: Evidence of the last time that the run was found unreachable.
         self.verdict: UnreachableVerdict | None = None
 
@@ -247,11 +232,8 @@
         self.waiting.clear()
         if self.unreachable:
             log.info(Event.BACKEND_ANSWERS, run=self.id)
-        self._mark_reachable()
-
-    def _mark_reachable(self) -> None:
         self.unreachable = False
-        self.probe_failed_s = self.probe_failed_before_s = _NEVER_S
+        self.probes.clear_failures()
 
     def record_probe(self, outcome: ProbeOutcome, started_s: float) -> None:
         """Record the outcome of a connection to the run.
@@ -265,41 +247,14 @@
         started_s : float
             Time at which the connection was begun.
         """
-        if outcome is ProbeOutcome.INCONCLUSIVE:
-            return
+        self.probes.record(outcome, started_s)
         if outcome is ProbeOutcome.ACCEPTED:
-            self.probe_accepted_s = started_s
-            self.probe_not_before_s = started_s + _ACCEPTED_PROBE_INTERVAL_S
-            self._mark_reachable()
-            return
-        self.probe_not_before_s = started_s + _FAILED_PROBE_INTERVAL_S
-        is_refused = outcome is ProbeOutcome.REFUSED
-        self.probe_failed_before_s = started_s if is_refused else self.probe_failed_s
-        self.probe_failed_s = started_s
+            self.unreachable = False
 
     @property
     def last_reply_s(self) -> float:
         """Time of the last answer or accepted connection seen here; 0 for none."""
-        return max(self.last_answer_s, self.probe_accepted_s)
-
-    def has_failed_probes(self, since_s: float, now_s: float) -> bool:
-        """Return whether connections show that the run can't be reached.
-
-        Parameters
-        ----------
-        since_s : float
-            Time since which the run has been silent; earlier connections show nothing.
-        now_s : float
-            Current time.
-
-        Returns
-        -------
-        bool
-            Whether the last two failed since then, the second one recently. A single
-            one may be due to a lost packet; a refused one needs no second.
-        """
-        is_recent = now_s - self.probe_failed_s <= _PROBE_VALID_S
-        return is_recent and self.probe_failed_before_s >= since_s
+        return max(self.last_answer_s, self.probes.accepted_s)
 
     def record_answer_time(self, took_s: float) -> None:
         """Record how long a caller waited for an answer.
--- a/src/agatethread/datapath/_reachability.py
+++ b/src/agatethread/datapath/_reachability.py
@@ -177,7 +177,7 @@
         unless it was probed just before. If no flow waits here, by chance, as many
         other instances see the same and tell if the run accepts.
     """
-    if backend.ended or now_s < backend.probe_not_before_s:
+    if backend.ended or now_s < backend.probes.not_before_s:
         return False
     if backend.is_marked_unreachable(now_s):
         return True
--- a/src/agatethread/datapath/_resets.py
+++ b/src/agatethread/datapath/_resets.py
@@ -55,7 +55,7 @@
         "end_told_by": format_source(backend.end_source),
         "last_answer_ago_s": _age_s(backend.last_answer_s, now_s),
         "flows_waiting": len(backend.waiting),
-        "probe_failed_ago_s": _age_s(backend.probe_failed_s, now_s),
+        "probe_failed_ago_s": _age_s(backend.probes.failed_s, now_s),
         "unreachable": backend.is_marked_unreachable(now_s),
         "unreachable_ago_s": _age_s(verdict.at_s, now_s) if verdict else None,
     }
@@ -163,7 +163,7 @@
             flows_waiting=verdict.flows_waiting if verdict else None,
             answered_by=verdict.answered_by if verdict else None,
             observers=verdict.observers if verdict else None,
-            probe_failed_ago_s=_age_s(backend.probe_failed_s, now_s),
+            probe_failed_ago_s=_age_s(backend.probes.failed_s, now_s),
         )
         self._counters["resets_inferred" if verdict else "resets_reported"] += 1
         self._send_reset(packet, reason)
--- a/src/agatethread/datapath/_suspects.py
+++ b/src/agatethread/datapath/_suspects.py
@@ -125,7 +125,7 @@
         )
         if not verdict:
             return False
-        if not backend.has_failed_probes(now_s - verdict.silent_s, now_s):
+        if not backend.probes.have_failed_twice(now_s - verdict.silent_s, now_s):
             return False
         backend.verdict = verdict
         backend.mark_unreachable(now_s)
--- a/tests/datapath/test_liveness.py
+++ b/tests/datapath/test_liveness.py
@@ -53,7 +53,7 @@
 
     def is_unreachable(self):
         now_s = asyncio.get_running_loop().time()
-        return self.backend.has_failed_probes(now_s - 10.0, now_s)
+        return self.backend.probes.have_failed_twice(now_s - 10.0, now_s)
 
     async def test_listening_server_accepts(self):
         """A connection to a real listener; a second probe waits for the first."""
