--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -7,7 +7,7 @@
 from agatethread.registry import derive_label
 from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire import unpack_address
-from agatethread.wire.registry_pb2 import RUN_END_UNKNOWN, BackendRun
+from agatethread.wire.registry_pb2 import RUN_END_UNKNOWN, BackendRun, RunEnd
 
 #: Consecutive missing answers to openings or requests from which a run is avoided. A
 #: single one may be due to a lost packet or a full queue.
@@ -226,6 +226,8 @@
         if self.ended and not self.have_flows_ended(now_s):
             # It serves although another run seems to have its address.
             self.flows_end_s = now_s + self.flows_hold_s
+        if self.ended and self.last_answer_s <= self.ended_s < now_s:
+            self._log_answer_after_end(now_s)
         self.last_answer_s = now_s
         self.failures = 0
         self.penalty_until_s = 0.0
@@ -235,6 +237,14 @@
         self.unreachable = False
         self.probes.clear_failures()
 
+    def _log_answer_after_end(self, now_s: float) -> None:
+        log.info(
+            Event.BACKEND_ANSWERS_AFTER_END,
+            run=self.id,
+            end=RunEnd.Name(self.end),
+            ended_ago_s=round(now_s - self.ended_s, 3),
+        )
+
     def record_probe(self, outcome: ProbeOutcome, started_s: float) -> None:
         """Record the outcome of a connection to the run.
 
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -37,6 +37,7 @@
     BACKEND_UNREACHABLE = "backend server unreachable: its flows end"
     BACKEND_PROBED = "backend server probed"
     BACKEND_ANSWERS = "backend server answers again"
+    BACKEND_ANSWERS_AFTER_END = "backend server answers after its end"
     BACKEND_SHARE_CHANGED = "backend server's share of new work"
     LABEL_COLLISION = "two runs share a label"
     LABEL_RETAKEN = "label free again: its run gets work"
@@ -46,6 +47,7 @@
     BACKEND_STOPPED = "backend server stopped reporting"
     BACKEND_ENDED = "backend server ended"
     REPORT_REFUSED = "report not taken"
+    END_REPEATED = "end reported again: its answer was lost"
     END_REFUSED = "end not taken: it may mean an earlier run"
     BACKEND_QUALITY_CHANGED = "backend server judged by its answers"
     PROPAGATION_TIMEOUT = "not known everywhere in time"
@@ -211,6 +213,7 @@
         ),
         Event.BACKEND_PROBED: frozenset({"run", "outcome", "took_s"}),
         Event.BACKEND_ANSWERS: frozenset({"run"}),
+        Event.BACKEND_ANSWERS_AFTER_END: frozenset({"run", "end", "ended_ago_s"}),
         Event.BACKEND_SHARE_CHANGED: frozenset({"run", "percent", "percent_before"}),
         Event.LABEL_COLLISION: frozenset({"kept", "other"}),
         Event.LABEL_RETAKEN: frozenset({"run"}),
@@ -242,6 +245,7 @@
                 "last_report_by",
             }
         ),
+        Event.END_REPEATED: frozenset({"run", "started_ms", "ended_ago_s"}),
         Event.END_REFUSED: frozenset({"run", "started_ms", "ended_started_ms"}),
         Event.REPORT_REFUSED: frozenset(
             {"run", "started_ms", "why", "holder", "holder_heard_ago_s"}
--- a/src/agatethread/registry/_run_logs.py
+++ b/src/agatethread/registry/_run_logs.py
@@ -109,6 +109,24 @@
     )
 
 
+def log_repeated_end(record: RunRecord, now_s: float) -> None:
+    """Log an end report of a run that has ended, so that it still lived.
+
+    Parameters
+    ----------
+    record : RunRecord
+        The run.
+    now_s : float
+        Present time.
+    """
+    log.info(
+        Event.END_REPEATED,
+        run=record.run.id,
+        started_ms=record.run.started_ms,
+        ended_ago_s=_last_report_ago_s(record, now_s),
+    )
+
+
 def log_changed_run(run: BackendRun, is_new: bool) -> None:
     """Log an accepted report that changes the run, and so is sent to entry instances.
 
--- a/src/agatethread/registry/_runs.py
+++ b/src/agatethread/registry/_runs.py
@@ -13,10 +13,9 @@
     ReportVerdict,
     check_report,
     check_service_and_start,
-    end_applies_to,
-    is_assumed_end_outdated,
 )
 from agatethread.registry._report import START_UNKNOWN, Report
+from agatethread.registry._run_ends import RunEnds
 from agatethread.registry._run_expiry import RunExpiry
 from agatethread.registry._run_index import (
     SOURCE_DISK,
@@ -29,22 +28,17 @@
     last_index,
     record_evidence,
     refresh_by_number,
-    store_report_age,
     to_report,
     to_run,
 )
 from agatethread.registry._run_logs import (
     EndNotice,
     log_changed_run,
-    log_ended,
-    log_rejected_end,
     log_rejected_report,
     make_replacement_notice,
 )
 from agatethread.wire.registry_pb2 import (
-    RUN_END_ADDRESS_TAKEN,
     RUN_END_REPORTED,
-    RUN_END_STARTED_AGAIN,
     BackendRun,
 )
 
@@ -69,6 +63,7 @@
         self._records = RunIndex()
         #: Names of the configured services; empty before the first routing table.
         self.services: frozenset[str] = frozenset()
+        self._ends = RunEnds(self._records, now_s, self._mark_changed)
         self._expiry = RunExpiry(self._records, interval_s, now_s, self._mark_changed)
         self.index = 0
         #: Index of the last change; direct reports without a change don't count.
@@ -164,15 +159,12 @@
     def _admit(self, report: Report, source: bytes) -> RunRecord:
         earlier = self._records.get(report.id)
         if earlier is not None and not earlier.run.ended:
-            self._end_earlier_start(earlier, source)
+            self._ends.mark_started_again(earlier, source)
         holder = self._records.get_other_by_address(report.address, report.id)
         if holder is not None:
-            self._end(holder, make_replacement_notice(holder.run, report, source))
+            self._ends.mark(holder, make_replacement_notice(holder.run, report, source))
         return self._records.add(to_run(report))
 
-    def _end_earlier_start(self, earlier: RunRecord, source: bytes) -> None:
-        self._end(earlier, EndNotice("it started again", RUN_END_STARTED_AGAIN, source))
-
     def _refresh(
         self, record: RunRecord, report: Report, source: bytes, age_s: float = 0.0
     ) -> bool:
@@ -216,7 +208,7 @@
             If the request may concern an earlier run; the sender may retry elsewhere.
         """
         ended = BackendRun(id=run_id, started_ms=started_ms, ended=True)
-        changed = self._apply_end(ended, EndNotice("it said so", RUN_END_REPORTED))
+        changed = self._ends.apply(ended, EndNotice("it said so", RUN_END_REPORTED))
         if started_ms == START_UNKNOWN and not self._records.get(run_id).run.ended:
             raise ReportRefusedError(run_id, "it may be the end of an earlier run")
         return changed
@@ -240,7 +232,7 @@
         """
         if run.ended:
             why = "another control instance says so"
-            return self._apply_end(run, EndNotice(why, run.end, source))
+            return self._ends.apply(run, EndNotice(why, run.end, source))
         stored = self._records.get(run.id)
         if run.silent and (stored is None or run.started_ms <= stored.run.started_ms):
             # The run may still report here, unless the other instance has a later one.
@@ -293,42 +285,6 @@
         self._mark_changed(record)
         return True
 
-    def _apply_end(self, ended: BackendRun, notice: EndNotice) -> bool:
-        record = self._records.get(ended.id)
-        if record is None or record.run.started_ms < ended.started_ms:
-            return self._store_end_of_later_start(record, ended, notice)
-        if record.run.ended:
-            if notice.kind != RUN_END_ADDRESS_TAKEN:
-                # No longer an assumption, so a late report takes nothing back.
-                record.run.end = notice.kind
-            return False
-        is_outdated = is_assumed_end_outdated(ended, record.run)
-        if is_outdated or not end_applies_to(record.run, ended.started_ms):
-            log_rejected_end(record.run, ended.started_ms)
-            return False
-        record.run.draining |= ended.draining
-        self._end(record, notice)
-        return True
-
-    def _store_end_of_later_start(
-        self, earlier: RunRecord | None, ended: BackendRun, notice: EndNotice
-    ) -> bool:
-        if earlier is not None and not earlier.run.ended:
-            self._end_earlier_start(earlier, notice.source)
-        self._end(self._records.add(ended), notice)
-        return True
-
-    def _end(self, record: RunRecord, notice: EndNotice) -> None:
-        run = record.run
-        log_ended(record, notice, self._now_s())
-        if record.last_report_s:
-            store_report_age(run, self._now_s() - record.last_report_s)
-        run.ended = True
-        run.end = notice.kind
-        record.last_report_s = self._now_s()
-        self._records.release_address(record)
-        self._mark_changed(record)
-
     def _mark_changed(self, record: RunRecord) -> None:
         self.index += 1
         self.changed_index = self.index
--- a/tests/datapath/test_resets.py
+++ b/tests/datapath/test_resets.py
@@ -1,8 +1,9 @@
 from logbook import TestHandler
 
+from agatethread.datapath import derive_label
 from agatethread.datapath._evidence import ProbeOutcome
 from agatethread.observability import Event
-from agatethread.wire.registry_pb2 import RUN_END_ADDRESS_TAKEN
+from agatethread.wire.registry_pb2 import RUN_END_ADDRESS_TAKEN, RUN_END_REPORTED
 from tests.datapath.fixtures import ForwarderCase, opening, packet, run
 from tests.fakes import address
 
@@ -64,6 +65,21 @@
         self.assertEqual(line["probe_failed_ago_s"], 0.0)
         self.assertEqual(self.counters["resets_inferred"], 1)
 
+    def test_first_answer_after_an_end_is_logged(self):
+        """The run lived after its end was told of."""
+        self.view.update_run(run(1), CONTROL)
+        backend = self.view.get_by_label(derive_label(1))
+        self.view.update_run(run(1, ended=True, end=RUN_END_REPORTED), CONTROL)
+        with TestHandler() as handler:
+            for _ in range(2):
+                self.clock.value_s += 0.5
+                backend.record_answer(self.clock())
+        (line,) = handler.records
+        self.assertEqual(line.message, Event.BACKEND_ANSWERS_AFTER_END)
+        self.assertEqual(
+            line.kwargs, {"run": "i-1", "end": "RUN_END_REPORTED", "ended_ago_s": 0.5}
+        )
+
     def test_refused_opening_names_no_run(self):
         """An opening that no run can take is refused without evidence of a run."""
         with TestHandler() as handler:
--- a/tests/registry/test_runs.py
+++ b/tests/registry/test_runs.py
@@ -5,7 +5,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from logbook import TestHandler
 
+from agatethread.observability import Event
 from agatethread.registry import (
     Hints,
     KnownEntry,
@@ -15,6 +17,7 @@
     save_hints,
 )
 from agatethread.registry._run_index import last_index
+from agatethread.wire.registry_pb2 import RUN_END_REPORTED, BackendRun
 from tests.fakes import Clock, address
 
 INTERVAL_S = 1.2
@@ -76,6 +79,20 @@
         self.assertFalse(self.table.report(report(sequence=9)))
         self.assertTrue(self.get_run().ended)
 
+    def test_repeated_end_is_logged_as_its_run_still_lives(self):
+        """An end that another control instance tells of again shows nothing."""
+        self.table.report(report())
+        self.table.end_run("i-1")
+        told = BackendRun(id="i-1", ended=True, end=RUN_END_REPORTED)
+        with TestHandler() as handler:
+            self.table.apply_peer_run(told, address(9))
+            self.assertEqual(handler.records, [])
+            self.clock.value_s += 2.0
+            self.table.end_run("i-1")
+        (line,) = handler.records
+        self.assertEqual(line.message, Event.END_REPEATED)
+        self.assertEqual(line.kwargs["ended_ago_s"], 2.0)
+
     def test_stores_end_of_unknown_run(self):
         """A report after the end does not start a new run."""
         self.table.end_run("i-1")
