--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -7,7 +7,13 @@
 from agatethread.registry import derive_label
 from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire import unpack_address
-from agatethread.wire.registry_pb2 import RUN_END_UNKNOWN, BackendRun, RunEnd
+from agatethread.wire.registry_pb2 import (
+    RUN_END_ADDRESS_TAKEN,
+    RUN_END_REPLACED,
+    RUN_END_UNKNOWN,
+    BackendRun,
+    RunEnd,
+)
 
 #: Consecutive missing answers to openings or requests from which a run is avoided. A
 #: single one may be due to a lost packet or a full queue.
@@ -51,8 +57,6 @@
         "earlier_labels",
         "ended",
         "ended_s",
-        "flows_end_s",
-        "flows_hold_s",
         "end",
         "end_source",
         "evacuated",
@@ -112,12 +116,6 @@
         self.draining = False
         self.ended = False
         self.ended_s = 0.0
-        #: Time from which its open flows are reset: that of its end, or later if the
-        #: end is only assumed.
-        self.flows_end_s = 0.0
-        #: Time for which its open flows stay after an assumed end and after each answer
-        #: since; 0 after another end.
-        self.flows_hold_s = 0.0
         #: How the end is known, and the packed address of the control instance that
         #: told of it.
         self.end = RUN_END_UNKNOWN
@@ -164,20 +162,10 @@
         #: Evidence of the last time that the run was found unreachable.
         self.verdict: UnreachableVerdict | None = None
 
-    def have_flows_ended(self, now_s: float) -> bool:
-        """Return whether open flows of the run are reset because of its end.
-
-        Parameters
-        ----------
-        now_s : float
-            Current time.
-
-        Returns
-        -------
-        bool
-            False also while an assumed end may still be taken back.
-        """
-        return self.ended and now_s >= self.flows_end_s
+    @property
+    def is_address_taken(self) -> bool:
+        """Whether another run reports from its address: a connection shows nothing."""
+        return self.end in (RUN_END_REPLACED, RUN_END_ADDRESS_TAKEN)
 
     def usable_weight(self, now_s: float) -> float:
         """Return the current factor on the run's share of new flows.
@@ -223,9 +211,6 @@
         now_s : float
             Time of the answer.
         """
-        if self.ended and not self.have_flows_ended(now_s):
-            # It serves although another run seems to have its address.
-            self.flows_end_s = now_s + self.flows_hold_s
         if self.ended and self.last_answer_s <= self.ended_s < now_s:
             self._log_answer_after_end(now_s)
         self.last_answer_s = now_s
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -16,15 +16,15 @@
     RunEnd,
 )
 
-#: Time for which ended runs are kept, so that packets of their flows are reset: the
-#: longest life of a flow.
+#: Time for which ended runs are kept, as they may serve their flows on: the longest
+#: life of a flow.
 _ENDED_RETENTION_S = 60.0
 #: Labels of earlier runs that map to the newest run of an id. Bounds the memory for a
 #: backend server that restarts in a loop.
 _MAX_EARLIER_LABELS = 8
 
 #: Report intervals within which each live run reports again: runs of a readmitted
-#: failure domain count as cold so long, and an assumed end resets no flows.
+#: failure domain count as cold so long.
 _NEXT_REPORT_INTERVALS = 1.5
 
 log = make_logger("backends")
@@ -62,8 +62,6 @@
         self._evacuated: frozenset[str] = frozenset()
         #: Evacuated failure domain that still gets new flows; empty for none.
         self._exempt_domain = ""
-        #: Runs that ended since the last call of `pop_newly_ended`.
-        self._newly_ended: list[Backend] = []
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -140,7 +138,6 @@
             self._record_change(backend, Event.RUN_DRAINING)
         if run.ended and not backend.ended:
             self._mark_ended(backend, run.end, source)
-            self._newly_ended.append(backend)
 
     def set_evacuations(self, failure_domains: frozenset[str]) -> None:
         """Set the failure domains whose runs get no new flows.
@@ -204,23 +201,6 @@
         domain = backend.failure_domain
         return domain in self._evacuated and domain != self._exempt_domain
 
-    def pop_newly_ended(self) -> list[Backend]:
-        """Return and clear the runs whose flows have ended since the last call.
-
-        Returns
-        -------
-        list of Backend
-            Replaced runs are left out: the later run of the same id may have accepted
-            flows that were placed under their label. So are runs that have reported
-            since.
-        """
-        now_s = self._now_s()
-        ended = [backend for backend in self._newly_ended if backend.ended]
-        self._newly_ended = [
-            backend for backend in ended if not backend.have_flows_ended(now_s)
-        ]
-        return [backend for backend in ended if backend.have_flows_ended(now_s)]
-
     def _add(self, run: BackendRun, source: bytes) -> Backend:
         backend = Backend(run, self._policies)
         _store_evidence(backend, run, source)
@@ -256,9 +236,6 @@
         backend.ended = True
         backend.ended_s = self._now_s()
         backend.end, backend.end_source = end, source
-        is_assumed = end == RUN_END_ADDRESS_TAKEN
-        backend.flows_hold_s = self._next_report_s if is_assumed else 0.0
-        backend.flows_end_s = backend.ended_s + backend.flows_hold_s
         self._by_service[backend.service].remove(backend)
         self._count_change(Event.BACKEND_ENDED)
         log.info(
--- a/src/agatethread/datapath/_flows.py
+++ b/src/agatethread/datapath/_flows.py
@@ -35,8 +35,10 @@
 
     __slots__ = (
         "acknowledged",
+        "asked_s",
         "backend",
         "busy",
+        "is_asked_again",
         "is_label_seen",
         "opened",
         "window_start",
@@ -61,6 +63,10 @@
         #: retransmission.
         self.waiting_since_s = now_s
         self.last_packet_s = now_s
+        #: Time of the first packet of the latest request or send window, and whether
+        #: the last packet was a counted retransmission of it.
+        self.asked_s = now_s
+        self.is_asked_again = False
         #: Highest sequence numbers sent and acknowledged by the caller.
         self.highest_sent: int | None = None
         self.acknowledged: int | None = None
@@ -177,6 +183,7 @@
         if flow.backend is not backend:
             self._reassign(flow, backend)
         flow.is_label_seen = True
+        flow.is_asked_again = False
         flow.last_packet_s = now_s
         if packet.closes or packet.resets:
             if self.answer_monitor:
@@ -249,13 +256,14 @@
                 self._runs_with_waiting_flows.add(flow.backend)
                 flow.backend.record_failure(flow.waiting_since_s, now_s)
                 flow.waiting_since_s = now_s
+                flow.is_asked_again = True
             return
         is_first = flow.highest_sent is None
         flow.highest_sent = packet.sequence
         # After an opening the flow is busy before its first request.
         if is_first or not flow.busy:
             self._set_in_progress(flow, True)
-            flow.waiting_since_s = now_s
+            flow.waiting_since_s = flow.asked_s = now_s
             flow.window_start = packet.sequence
             if self.answer_monitor:
                 self.answer_monitor.on_request(packet.key, flow.backend, now_s)
@@ -265,7 +273,7 @@
             # The caller has sent more than a send window, so the run has acknowledged
             # the start of the window.
             flow.backend.record_answer(now_s)
-            flow.waiting_since_s = now_s
+            flow.waiting_since_s = flow.asked_s = now_s
             flow.window_start = packet.sequence
             if self.answer_monitor:
                 self.answer_monitor.on_request(packet.key, flow.backend, now_s)
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -1,10 +1,10 @@
 """Forwards packets, resets their flows or drops them.
 
-A flow is reset if its run has ended or is unreachable. An opening is reset if it has no
-route, if no run can take it or if a dispatcher refuses it. Packets are dropped if the
-instance lacks the state for them, if they go to a service that their route does not
-allow, and, for openings, if a run will soon be warm, or if they are copies; callers
-send them again.
+A flow is reset if its run is unreachable, or has ended and leaves a request unanswered.
+An opening is reset if it has no route, if no run can take it or if a dispatcher refuses
+it. Packets are dropped if the instance lacks the state for them, if they go to a
+service that their route does not allow, and, for openings, if a run will soon be warm,
+or if they are copies; callers send them again.
 """
 
 import random
@@ -13,7 +13,8 @@
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._backends import BackendView
 from agatethread.datapath._cold import ColdLimits
-from agatethread.datapath._flows import Flow, FlowLoads
+from agatethread.datapath._flows import FlowLoads
+from agatethread.datapath._lost_flows import LostFlows
 from agatethread.datapath._openings import (
     has_run_warm_soon,
     is_late_copy,
@@ -28,7 +29,6 @@
     make_caller_packet,
 )
 from agatethread.datapath._placing import choose_service, order_services, place_flow
-from agatethread.datapath._reachability import should_reset_flow
 from agatethread.datapath._resets import FlowResetter
 from agatethread.datapath._shared_placing import SharedPlacing
 from agatethread.datapath._sightings import SightingExchange
@@ -44,10 +44,6 @@
 from agatethread.settings import DEFAULT_POLICIES, Policies
 from agatethread.wire.registry_pb2 import Sighting
 
-#: A longer gap between two calls of `tick` means that the process was suspended. Timers
-#: call it every 0.2 s.
-_MAX_TICK_GAP_S = 1.0
-
 log = make_logger("forwarder")
 
 
@@ -101,13 +97,12 @@
         self._resetter = FlowResetter(codec, send, now_s, counters)
         self._is_view_complete = is_view_complete
         self._policies = policies
-        self._last_tick_s = now_s()
-        self._running_since_s = now_s()
         #: Set if openings are placed together with other instances.
         self.shared_placing: SharedPlacing | None = None
         self.loads = FlowLoads(flow_limit_count)
         self.sighting_exchange = SightingExchange(now_s)
         self.suspects = SuspectMonitor(view, policies, self.sighting_exchange)
+        self._lost_flows = LostFlows(self.loads, self.suspects, now_s())
         self.table: RouteTable = NO_ROUTES
 
     def apply_table(self, table: RouteTable) -> None:
@@ -285,7 +280,7 @@
         outcome = decide_open_flow(
             is_known=backend is not None,
             is_allowed=backend is not None and self._is_allowed(packet, backend),
-            has_ended=backend is not None and backend.have_flows_ended(now_s),
+            is_gone=False,
         )
         if outcome is OpenFlowOutcome.FORWARD:
             if self.shared_placing:
@@ -293,23 +288,35 @@
             self.loads.record_packet(packet, backend, now_s)
             if self.shared_placing:
                 self._report_relayed_packet(packet.key)
-            if self._should_reset_request(packet, backend):
-                self.loads.delete_flow(packet.key)
-                self._reset_flow(packet, "backend_unreachable", backend, None)
+            if self._should_reset_request(packet, backend, now_s):
+                self._reset_request(packet, backend)
                 return
             self._forward(packet, backend)
-        elif outcome is OpenFlowOutcome.RESET:
-            self._reset_flow(packet, outcome.value, backend, None)
         else:
             self._drop(packet, outcome.value)
 
+    def _reset_request(self, packet: Packet, backend: Backend) -> None:
+        flow = self.loads.get_flow(packet.key)
+        asked_s = flow.asked_s if flow is not None else None
+        self._resetter.reset_flow(
+            packet,
+            "backend_ended" if backend.ended else "backend_unreachable",
+            backend,
+            None,
+            self.table.version,
+            asked_s,
+        )
+        self.loads.delete_flow(packet.key)
+
     def _report_relayed_packet(self, key: FlowKey) -> None:
         """Report the state of a flow; one without a record counts as over."""
         flow = self.loads.get_flow(key)
         is_busy = flow is not None and flow.busy
         self.shared_placing.on_packet(key, is_busy, is_over=flow is None)
 
-    def _should_reset_request(self, packet: Packet, backend: Backend) -> bool:
+    def _should_reset_request(
+        self, packet: Packet, backend: Backend, now_s: float
+    ) -> bool:
         """Return whether to reset the flow of a request, so that its caller retries it.
 
         Only on idempotent routes; on others the caller waits for a late answer.
@@ -319,33 +326,29 @@
         route = self.table.routes[packet.key.host, packet.key.port]
         if not route.idempotent:
             return False
-        return backend.is_marked_unreachable(self._now_s())
+        return self._lost_flows.should_reset_request(packet.key, backend, now_s)
 
     def reset_flows_of_lost_runs(self) -> None:
-        """Reset the open flows of runs that have ended or are unreachable.
+        """Reset the open flows of runs that are unreachable.
 
         Called several times a second, so that an idle flow is reset before its caller
         sends the next request on it.
         """
-        now_s = self._now_s()
-        lost = self._view.pop_newly_ended()
-        lost += self.suspects.mark_unreachable_runs(
-            self._find_suspects(), now_s, self._running_since_s
+        lost = self._lost_flows.find_at_unreachable_runs(
+            self._find_suspects(), self.table, self._now_s()
         )
-        if not lost or not self._policies.resets_idle_flows:
+        if not self._policies.resets_idle_flows:
             return
-        for key, flow in self.loads.open_flows_of(lost):
-            self._reset_open_flow(key, flow)
-
-    def _reset_open_flow(self, key: FlowKey, flow: Flow) -> None:
-        route = self.table.routes.get((key.host, key.port))
-        is_idempotent = route is not None and route.idempotent
-        has_ended = flow.backend.ended
-        if should_reset_flow(flow.busy, is_idempotent, has_ended):
+        for key, flow in lost:
             self.loads.delete_flow(key)
-            reason = "backend_ended" if has_ended else "backend_unreachable"
             packet = make_caller_packet(key, flow.backend.label, flow.acknowledged)
-            self._reset_flow(packet, reason, flow.backend, flow)
+            self._resetter.reset_flow(
+                packet,
+                "backend_unreachable",
+                flow.backend,
+                flow,
+                self.table.version,
+            )
 
     def sightings(self) -> list[Sighting]:
         """Return the sightings for other entry instances; see `_sightings`.
@@ -362,11 +365,7 @@
 
     def tick(self) -> None:
         """Detect a suspension of the process; called by timers and per datagram."""
-        now_s = self._now_s()
-        if now_s - self._last_tick_s > _MAX_TICK_GAP_S:
-            # Answers that were due in the meantime do not count as missing.
-            self._running_since_s = now_s
-        self._last_tick_s = now_s
+        self._lost_flows.tick(self._now_s())
 
     def _is_allowed(self, packet: Packet, backend: Backend) -> bool:
         route = self.table.routes.get((packet.key.host, packet.key.port))
@@ -392,9 +391,3 @@
 
     def _reset(self, packet: Packet, reason: str) -> None:
         self._resetter.refuse_opening(packet, reason, self.table.version)
-
-    def _reset_flow(
-        self, packet: Packet, reason: str, backend: Backend, flow: Flow | None
-    ) -> None:
-        version = self.table.version
-        self._resetter.reset_flow(packet, reason, backend, flow, version)
--- a/src/agatethread/datapath/_reachability.py
+++ b/src/agatethread/datapath/_reachability.py
@@ -14,6 +14,7 @@
 
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._evidence import UnreachableVerdict
+from agatethread.datapath._flows import Flow
 from agatethread.settings import DEFAULT_POLICIES, Policies
 
 #: A single flow may have lost its packets on the caller's path.
@@ -36,6 +37,9 @@
 #: Waiting flows and instances that count as strong evidence.
 _STRONG_WAITING_FLOWS = 4
 _STRONG_OBSERVERS = 3
+#: Time for which a request to an ended run stays unanswered before its flow may be
+#: reset: until its second retransmission, 0.6 s after it.
+_MIN_UNANSWERED_S = 0.5
 #: Age up to which an answer of another run shows that callers reach this instance, and
 #: this instance reaches runs.
 _RECENT_ANSWER_S = 0.5
@@ -73,8 +77,38 @@
 NO_POOLED_SIGHTING = PooledSighting()
 
 
-def should_reset_flow(is_busy: bool, is_idempotent: bool, has_ended: bool) -> bool:
-    """Return whether an open flow of an ended or unreachable run is reset.
+def is_lost_at_ended_run(flow: Flow, now_s: float, running_since_s: float) -> bool:
+    """Return whether a request will not be answered, as its run has ended.
+
+    That the end was told of shows nothing: a run reports its end while it still serves
+    its flows, and a control instance may conclude an end wrongly. So the flow goes on
+    until its own request was sent again in vain, the run has answered no other caller
+    since, and its address either refuses connections or is used by another run.
+
+    Parameters
+    ----------
+    flow : Flow
+        Flow of a run that has ended, with its latest packet recorded.
+    now_s : float
+        Current time.
+    running_since_s : float
+        Time since which this process has not been suspended.
+
+    Returns
+    -------
+    bool
+        Whether its caller should retry the request on another flow.
+    """
+    backend = flow.backend
+    if not flow.is_asked_again or now_s - flow.asked_s < _MIN_UNANSWERED_S:
+        return False
+    if flow.asked_s < running_since_s or backend.last_answer_s >= flow.asked_s:
+        return False
+    return backend.is_address_taken or backend.probes.failed_s >= flow.asked_s
+
+
+def should_reset_flow(is_busy: bool, is_idempotent: bool) -> bool:
+    """Return whether an open flow of an unreachable run is reset.
 
     Handles long flows with pauses between requests: after a reset during the pause the
     next request goes to another run instead of being lost.
@@ -85,15 +119,13 @@
         Whether a request waits for its answer.
     is_idempotent : bool
         Whether callers may retry the request.
-    has_ended : bool
-        Whether the run has ended, so that no answer can arrive.
 
     Returns
     -------
     bool
         Whether to reset the flow.
     """
-    return has_ended or is_idempotent or not is_busy
+    return is_idempotent or not is_busy
 
 
 def detect_unreachable(
--- a/src/agatethread/datapath/_resets.py
+++ b/src/agatethread/datapath/_resets.py
@@ -123,6 +123,7 @@
         backend: Backend,
         flow: Flow | None,
         table_version: int,
+        asked_s: float | None = None,
     ) -> None:
         """Reset an open flow, and log what is believed of its run and since when.
 
@@ -139,6 +140,8 @@
             the packet names.
         table_version : int
             Version of the routing table in force.
+        asked_s : float or None, optional
+            Time of the request that is left unanswered.
         """
         if packet.resets:
             return
@@ -154,6 +157,7 @@
             run=backend.id,
             run_known_from=_source_of_run(flow),
             last_packet_ago_s=_age_s(flow.last_packet_s, now_s) if is_recorded else 0.0,
+            asked_ago_s=_age_s(asked_s, now_s) if asked_s else None,
             end=RunEnd.Name(backend.end),
             told_by=format_source(backend.end_source or backend.source),
             told_ago_s=_age_s(backend.ended_s or backend.updated_s, now_s),
--- a/src/agatethread/datapath/_run_labels.py
+++ b/src/agatethread/datapath/_run_labels.py
@@ -11,15 +11,16 @@
 class RunLabels:
     """Runs by their labels.
 
-    Of two live runs with one label, the earlier one keeps it, since it has open flows;
-    all instances decide alike. The later one gets the label after the other's end.
+    Of two runs with one label, the earlier one keeps it, since it has open flows; all
+    instances decide alike. The later one gets the label when the other is deleted: a
+    run that has ended may serve its flows on.
 
     Parameters
     ----------
     now_s : callable
         Monotonic clock.
     propagation_s : float
-        Time for all entry instances to receive the end of a run.
+        Time for all entry instances to delete a run that has ended.
     """
 
     def __init__(self, now_s: Callable[[], float], propagation_s: float):
@@ -51,7 +52,7 @@
             The run.
         """
         existing = self._runs.get(backend.label, backend)
-        if existing is backend or existing.ended:
+        if existing is backend:
             self._runs[backend.label] = backend
             return
         kept, other = sorted((existing, backend), key=_start_order)
@@ -87,10 +88,10 @@
                 del self._runs[label]
 
     def retake(self, backend: Backend) -> None:
-        """Give a live run its label once the flows of the other run have ended.
+        """Give a live run its label once the other run was deleted.
 
-        New flows follow after the propagation time: other instances would reset their
-        packets as those of the other run.
+        New flows follow after the propagation time: other instances would forward their
+        packets to the other run.
 
         Parameters
         ----------
@@ -100,7 +101,7 @@
         now_s = self._now_s()
         holder = self._runs.get(backend.label)
         if holder is not backend:
-            if _uses_label(holder, backend.label, now_s):
+            if holder is not None and holder.label == backend.label:
                 return
             self._runs[backend.label] = backend
             backend.label_retaken_s = now_s
@@ -111,10 +112,3 @@
 
 def _start_order(backend: Backend) -> tuple[int, str]:
     return (backend.started_ms, backend.id)
-
-
-def _uses_label(holder: Backend | None, label: int, now_s: float) -> bool:
-    """Return whether a label is a run's own one, and its flows go on."""
-    if holder is None or holder.label != label:
-        return False
-    return not holder.have_flows_ended(now_s)
--- a/src/agatethread/datapath/_suspects.py
+++ b/src/agatethread/datapath/_suspects.py
@@ -112,6 +112,19 @@
         self._unreachable.update(marked)
         return marked
 
+    def probe_if_due(self, backend: Backend, now_s: float) -> None:
+        """Probe a run that has ended, unless it was probed just before.
+
+        Parameters
+        ----------
+        backend : Backend
+            A run that leaves a request unanswered.
+        now_s : float
+            Current time.
+        """
+        if now_s >= backend.probes.not_before_s:
+            self.probe(backend)
+
     def _mark_if_unreachable(
         self, backend: Backend, now_s: float, running_since_s: float
     ) -> bool:
--- a/src/agatethread/entry/_forwarding.py
+++ b/src/agatethread/entry/_forwarding.py
@@ -111,7 +111,7 @@
             # The sealed cookie proves that the run existed.
             is_known=True,
             is_allowed=cookie.service == service_hash(envelope.service),
-            has_ended=self._has_ended(cookie, envelope.service),
+            is_gone=self._has_ended(cookie, envelope.service),
         )
         if outcome is OpenFlowOutcome.RESET:
             self._send_reset(envelope, caller)
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -179,6 +179,7 @@
                 "run",
                 "run_known_from",
                 "last_packet_ago_s",
+                "asked_ago_s",
                 "end",
                 "told_by",
                 "told_ago_s",
--- a/src/agatethread/routing/_open_flows.py
+++ b/src/agatethread/routing/_open_flows.py
@@ -8,12 +8,13 @@
 ==================  =================  =====================  ===========
 no                  -                  -                      dropped
 yes                 no                 -                      dropped
-yes                 yes                ended or replaced      reset
+yes                 yes                gone                   reset
 yes                 yes                other                  forwarded
 ==================  =================  =====================  ===========
 
-A reset ends the flow at the caller, so it is sent only if the run is known to have
-ended. A dropped packet is sent again by the caller, when the run may be known.
+A reset ends the flow at the caller, so it is sent only if the run is known to be gone;
+that its end was told of does not show this. A dropped packet is sent again by the
+caller, when the run may be known.
 """
 
 from enum import Enum
@@ -29,7 +30,7 @@
 
 
 def decide_open_flow(
-    is_known: bool, is_allowed: bool, has_ended: bool
+    is_known: bool, is_allowed: bool, is_gone: bool
 ) -> OpenFlowOutcome:
     """Return the outcome for a packet of an open flow.
 
@@ -41,8 +42,8 @@
     is_allowed : bool
         Whether the packet's destination belongs to the run's service, or did when the
         flow was opened.
-    has_ended : bool
-        Whether the run has ended, or its address belongs to another run.
+    is_gone : bool
+        Whether the run is known to serve no flows any more.
 
     Returns
     -------
@@ -53,6 +54,6 @@
         return OpenFlowOutcome.DROP_UNKNOWN
     if not is_allowed:
         return OpenFlowOutcome.DROP_OTHER_SERVICE
-    if has_ended:
+    if is_gone:
         return OpenFlowOutcome.RESET
     return OpenFlowOutcome.FORWARD
