--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -154,6 +154,9 @@
         now_s = self._now_s()
         flow = self.loads.get_flow(packet.key)
         if is_late_copy(flow, now_s) and self._is_allowed(packet, flow.backend):
+            if flow.backend.ended:
+                self._drop(packet, "late_copy")
+                return
             # Another run would answer it too.
             log_placement(packet, flow.backend, (), now_s, self.table.version)
             self._forward(packet, flow.backend)
--- a/src/agatethread/datapath/_openings.py
+++ b/src/agatethread/datapath/_openings.py
@@ -34,9 +34,9 @@
     Returns
     -------
     bool
-        False also if the run of the flow has ended, as no flow can be open there.
+        Whether the flow is open, also at a run whose end was told of.
     """
-    if flow is None or not flow.opened or flow.backend.ended:
+    if flow is None or not flow.opened:
         return False
     return now_s - flow.last_packet_s <= _LATE_COPY_S
 
--- a/tests/datapath/test_told_ends.py
+++ b/tests/datapath/test_told_ends.py
@@ -129,6 +129,15 @@
         request = packet(7, number=1, payload_bytes=10, sequence=200)
         self.assertEqual(self.handle(request), SENT_ON)
 
+    def test_late_copy_of_an_opening_leaves_the_flow_open(self):
+        """It is neither refused nor sent to another run, which would answer it."""
+        self.end()
+        self.view.update_run(run(2))
+        self.sent.clear()
+        self.forwarder.refuse(opening(7, copy=1), "no_room")
+        self.assertEqual(self.sent, [])
+        self.assertEqual(self.handle(opening(7, copy=1)), [])
+
     def test_run_whose_end_was_told_gets_no_new_flow(self):
         """Its own word is enough for that."""
         self.end()
