--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -233,7 +233,8 @@
     def record_probe(self, outcome: ProbeOutcome, started_s: float) -> None:
         """Record the outcome of a connection to the run.
 
-        An accepted one shows that the run is alive, so that its flows stay.
+        An accepted one shows that the run is alive, so that its flows stay. A refused
+        one shows nothing while it drains: it may have stopped listening, and serve.
 
         Parameters
         ----------
@@ -242,6 +243,9 @@
         started_s : float
             Time at which the connection was begun.
         """
+        is_draining = self.draining and not self.ended
+        if is_draining and outcome is ProbeOutcome.REFUSED:
+            outcome = ProbeOutcome.INCONCLUSIVE
         self.probes.record(outcome, started_s)
         if outcome is ProbeOutcome.ACCEPTED:
             self.unreachable = False
--- a/src/agatethread/datapath/_probe_record.py
+++ b/src/agatethread/datapath/_probe_record.py
@@ -50,6 +50,7 @@
             Time at which the connection was begun.
         """
         if outcome is ProbeOutcome.INCONCLUSIVE:
+            self.not_before_s = max(self.not_before_s, started_s + _FAILED_INTERVAL_S)
             return
         if outcome is ProbeOutcome.ACCEPTED:
             self.accepted_s = started_s
--- a/tests/datapath/test_open_flows.py
+++ b/tests/datapath/test_open_flows.py
@@ -65,6 +65,18 @@
         self.probe_outcome = ProbeOutcome.REFUSED
         self.assertEqual(self.lose_sight(), [1, 2, 3, 4, 5])
 
+    def test_leaving_run_that_has_stopped_listening_keeps_its_flows(self):
+        """It may serve them on, and its callers have moved to other instances."""
+        self.probe_outcome = ProbeOutcome.REFUSED
+        self.view.update_run(run(1, draining=True, sequence=2))
+        self.assertEqual(self.lose_sight(), [])
+
+    def test_leaving_run_that_cannot_be_reached_loses_its_flows(self):
+        """Its machine is down or cut off."""
+        self.probe_outcome = ProbeOutcome.NO_REPLY
+        self.view.update_run(run(1, draining=True, sequence=2))
+        self.assertEqual(self.lose_sight(), [1, 2, 3, 4, 5])
+
     def test_run_that_accepts_again_is_reachable(self):
         """Guards against resets after a cut has healed, while no answer was seen."""
         self.probe_outcome = ProbeOutcome.NO_REPLY
