--- a/src/agatethread/entry/_announcements.py
+++ b/src/agatethread/entry/_announcements.py
@@ -1,4 +1,4 @@
-"""Verify and forward announcements of backend servers, and end expired runs."""
+"""Verify and forward announcements of backend servers, and end expired leases."""
 
 import random
 from collections.abc import Callable
@@ -56,8 +56,10 @@
         Monotonic clock.
     on_changed : callable
         Called with a backend server whose announced state changed.
-    on_gone : callable
-        Called with a run that ended or was replaced at its address.
+    on_told_gone : callable
+        Called with a run that left or whose lease has expired; it may still serve.
+    on_exited : callable
+        Called with a run that was replaced at its address.
     counters : Counters
         Counts announcements by their result.
     """
@@ -71,7 +73,8 @@
         send_backend: Callable[[bytes, bytes], None],
         now_s: Callable[[], float],
         on_changed: Callable[[Endpoint], None],
-        on_gone: Callable[[Endpoint], None],
+        on_told_gone: Callable[[Endpoint], None],
+        on_exited: Callable[[Endpoint], None],
         counters: Counters,
     ):
         self._announce_sealer = (
@@ -83,7 +86,8 @@
         self._send_backend = send_backend
         self._now_s = now_s
         self._on_changed = on_changed
-        self._on_gone = on_gone
+        self._on_told_gone = on_told_gone
+        self._on_exited = on_exited
         self._counters = counters
         self._last_sweep_s = now_s()
         self._held_services: set[str] = set()
@@ -151,7 +155,7 @@
         )
         self._counters["announcement_" + result.name.lower()] += 1
         if displaced is not None:
-            self._on_gone(displaced)
+            self._on_exited(displaced)
 
         endpoint = self._endpoints.by_address[address]
         if result is not AnnouncementResult.STALE:
@@ -160,7 +164,7 @@
         if result is AnnouncementResult.CHANGED:
             self._on_changed(endpoint)
             if endpoint.gone and not was_gone:
-                self._on_gone(endpoint)
+                self._on_told_gone(endpoint)
         return result
 
     def _forward(self, announcement: Announcement, result: AnnouncementResult) -> None:
--- a/src/agatethread/entry/_datagrams.py
+++ b/src/agatethread/entry/_datagrams.py
@@ -5,6 +5,7 @@
 from agatethread.entry._announcements import AnnouncementHandler
 from agatethread.entry._flows import FlowRouter
 from agatethread.entry._forwarding import FlowForwarder
+from agatethread.entry._gone_endpoints import GoneEndpoints
 from agatethread.entry._placement import FlowPlacer
 from agatethread.entry._requests import RequestRouter
 from agatethread.exceptions import DatagramError
@@ -41,7 +42,7 @@
         Verifies messages of other entry instances.
     members : MemberTable
         Entry instances.
-    prober, announcements, forwarder, placer, flow_router, requests
+    prober, announcements, forwarder, placer, flow_router, requests, gone_endpoints
         Handlers of the kinds of datagrams.
     send_on_caller_socket : callable
         Sends a datagram from the callers' socket, without splitting it.
@@ -59,6 +60,7 @@
         placer: FlowPlacer,
         flow_router: FlowRouter,
         requests: RequestRouter,
+        gone_endpoints: GoneEndpoints,
         send_on_caller_socket: Callable[[bytes, SocketAddress], None],
         fresh_token: Callable[[str], bytes],
     ):
@@ -70,6 +72,7 @@
         self._placer = placer
         self._flow_router = flow_router
         self._requests = requests
+        self._gone_endpoints = gone_endpoints
         self._send_on_caller_socket = send_on_caller_socket
         self._fresh_token = fresh_token
 
@@ -154,6 +157,9 @@
         if kind == Kind.ANNOUNCE:
             self._announcements.on_announce(envelope, pack_address(source))
             return
+        if kind == Kind.PROBE_ACK:
+            self._gone_endpoints.on_answer(pack_address(source), envelope)
+            return
         raise DatagramError("unexpected kind")
 
     def _on_peer(self, peer: Peer) -> None:
--- a/src/agatethread/entry/_dump.py
+++ b/src/agatethread/entry/_dump.py
@@ -19,6 +19,7 @@
         "failure_domain": announcement.failure_domain,
         "incarnation": endpoint.incarnation,
         "gone": endpoint.gone,
+        "has_exited": endpoint.has_exited,
         "drained": endpoint.drained,
         "draining": announcement.draining,
         "lease_s": round(endpoint.lease_until_s - now_s, 3),
--- a/src/agatethread/entry/_forwarding.py
+++ b/src/agatethread/entry/_forwarding.py
@@ -4,7 +4,12 @@
 
 from agatethread.exceptions import SealError
 from agatethread.observability import Counters
-from agatethread.routing import EndpointTable, OpenFlowOutcome, decide_open_flow
+from agatethread.routing import (
+    Endpoint,
+    EndpointTable,
+    OpenFlowOutcome,
+    decide_open_flow,
+)
 from agatethread.wire import (
     Cookie,
     Envelope,
@@ -40,6 +45,8 @@
         Verifies cookies and labels, and seals labels.
     endpoints : EndpointTable
         Backend servers by address.
+    ask_if_gone : callable
+        Called with a backend server that is told to be gone and gets a datagram.
     send_on_inner_socket, send_on_caller_socket : callable
         Send a datagram to a socket address, without splitting it.
     counters : Counters
@@ -50,12 +57,14 @@
         self,
         sealer: Sealer,
         endpoints: EndpointTable,
+        ask_if_gone: Callable[[Endpoint], None],
         send_on_inner_socket: Send,
         send_on_caller_socket: Send,
         counters: Counters,
     ):
         self._sealer = sealer
         self._endpoints = endpoints
+        self._ask_if_gone = ask_if_gone
         self._send_on_inner_socket = send_on_inner_socket
         self._send_on_caller_socket = send_on_caller_socket
         self._counters = counters
@@ -111,7 +120,7 @@
             # The sealed cookie proves that the run existed.
             is_known=True,
             is_allowed=cookie.service == service_hash(envelope.service),
-            is_gone=self._has_ended(cookie, envelope.service),
+            is_gone=self._has_exited(cookie, envelope.service),
         )
         if outcome is OpenFlowOutcome.RESET:
             self._send_reset(envelope, caller)
@@ -134,7 +143,7 @@
         self._routes[envelope.cookie, caller] = route
         return route
 
-    def _has_ended(self, cookie: Cookie, service: str) -> bool:
+    def _has_exited(self, cookie: Cookie, service: str) -> bool:
         # If no announcement of this run or a later one was received, the flow counts as
         # open; the backend server checks the incarnation, too.
         current = self._endpoints.by_address.get(cookie.endpoint)
@@ -142,7 +151,9 @@
             return False
         if current.incarnation > cookie.incarnation or current.service != service:
             return True
-        return current.gone
+        if current.gone:
+            self._ask_if_gone(current)
+        return current.has_exited
 
     def _send_reset(self, envelope: Envelope, caller: SocketAddress) -> None:
         self._counters["reset"] += 1
--- a/src/agatethread/entry/_instance.py
+++ b/src/agatethread/entry/_instance.py
@@ -13,6 +13,8 @@
 from agatethread.entry._dump import dump_entry
 from agatethread.entry._flows import FlowRouter
 from agatethread.entry._forwarding import FlowForwarder
+from agatethread.entry._gone_endpoints import GoneEndpoints
+from agatethread.entry._member_updates import MemberUpdates
 from agatethread.entry._placement import FlowPlacer
 from agatethread.entry._requests import RequestRouter
 from agatethread.membership import Member, MemberTable, Prober
@@ -33,7 +35,6 @@
 from agatethread.wire import (
     MAX_DATAGRAM_BYTES,
     NO_MEMBER,
-    MemberRef,
     MemberState,
     Peer,
     Token,
@@ -47,7 +48,6 @@
 
 _SWEEP_INTERVAL_S = 0.1
 _STATE_REPAIR_INTERVAL_S = 1.0
-_STATE_RESEND_DELAY_S = 3.0
 #: Time for probes of the network fabric and for gossip to detect that this one leaves.
 _LEAVE_PROPAGATION_S = 1.0
 _STOP_POLL_S = 0.05
@@ -90,6 +90,7 @@
             self.placer,
             self.flow_router,
             self.requests,
+            self.gone_endpoints,
             self._send_on_caller_socket,
             self.fresh_token,
         )
@@ -107,10 +108,8 @@
         self.endpoints = EndpointTable()
         self.flows = FlowTable(entry.flow_limit_count)
         self.document_store = DocumentStore()
-        self._dispatched_services: set[str] = set()
         self._is_stopping = False
         self._outbox = FragmentSender()
-        self._initialized_members: set[MemberRef] = set()
 
     def _build_cluster_state_handlers(self, entry: EntrySettings) -> None:
         self.prober = self.add_dependency(
@@ -140,15 +139,31 @@
             self._send_backend,
             self.timers.now_s,
             self._on_endpoint_changed,
-            self._on_endpoint_gone,
+            self._on_endpoint_told_gone,
+            self._on_endpoint_exited,
             self.counters,
         )
-        self.members.subscribe(self._on_member_changed)
+        updates = MemberUpdates(
+            self.announcements,
+            self.endpoints,
+            self.is_dispatcher,
+            self.add_future,
+            self.timers.now_s,
+        )
+        self.members.subscribe(updates.on_changed)
 
     def _build_flow_handlers(self) -> None:
+        self.gone_endpoints = GoneEndpoints(
+            self.members.has_live_member,
+            self._send_backend,
+            self.timers.now_s,
+            self._on_endpoint_exited,
+            self.counters,
+        )
         self.forwarder = FlowForwarder(
             self.sealer,
             self.endpoints,
+            self.gone_endpoints.ask,
             self._send_on_inner_socket,
             self._send_on_caller_socket,
             self.counters,
@@ -296,7 +311,17 @@
         self.forwarder.clear_routes()
         self.requests.grant_waiting(endpoint.service)
 
-    def _on_endpoint_gone(self, endpoint: Endpoint) -> None:
+    def _on_endpoint_told_gone(self, endpoint: Endpoint) -> None:
+        log.info(
+            "backend server told to be gone",
+            endpoint=endpoint.announcement.endpoint_id,
+            service=endpoint.service,
+        )
+        has_claim = self.requests.standby_claims.has_claim_at(endpoint.address)
+        if endpoint.streams or endpoint.in_flight or has_claim:
+            self.gone_endpoints.ask(endpoint)
+
+    def _on_endpoint_exited(self, endpoint: Endpoint) -> None:
         log.info(
             "backend server gone",
             endpoint=endpoint.announcement.endpoint_id,
@@ -326,31 +351,6 @@
             self.members.update_own_member(state=MemberState.ALIVE)
             self.prober.send_own_state()
 
-    async def _initialize_member(self, member: Member) -> None:
-        # Sent again after a delay: an instance that did not know the new one yet may
-        # have forwarded a change to the others only.
-        self.announcements.send_announcements_to(member)
-        await self.sleep(_STATE_RESEND_DELAY_S)
-        self.announcements.send_announcements_to(member)
-
-    def _on_member_changed(self, member: Member) -> None:
-        if (
-            member.state == MemberState.ALIVE
-            and member.ref not in self._initialized_members
-        ):
-            self._initialized_members.add(member.ref)
-            self.add_future(self._initialize_member(member))
-        elif member.state == MemberState.DEAD:
-            self._initialized_members.discard(member.ref)
-        now_s = self.timers.now_s()
-        for service in self.endpoints.services():
-            if not self.is_dispatcher(service):
-                self._dispatched_services.discard(service)
-            elif service not in self._dispatched_services:
-                self._dispatched_services.add(service)
-                for endpoint in self.endpoints.of_service(service):
-                    endpoint.inherit_reported_load(now_s)
-
     def is_dispatcher(self, service: str) -> bool:
         """Return whether this instance is the dispatcher of a service.
 
@@ -368,6 +368,7 @@
 
     def _sweep(self) -> None:
         self.announcements.sweep()
+        self.gone_endpoints.tick()
         self.placer.expire_pending()
         self.requests.sweep()
 
--- a/src/agatethread/operations/_claims.py
+++ b/src/agatethread/operations/_claims.py
@@ -69,7 +69,7 @@
     sealer : Sealer
         Opens tokens.
     endpoints : EndpointTable
-        Shows whether a backend server is gone.
+        Shows whether a backend server has exited.
     counters : Counters
         Counts claims and verdicts.
     limit_count : int
@@ -255,7 +255,7 @@
         """Decide overdue claims and delete expired records.
 
         If the owner has ended, the caller gets the verdict "unknown" at the deadline or
-        once the backend server is gone.
+        once the backend server has exited.
         """
         now_s = self._callbacks.now_s()
         for operation_id, record in list(self._undecided.items()):
@@ -264,7 +264,7 @@
                 if now_s > record.deadline_at_s + _VERDICT_NOTE_GRACE_S:
                     self._close_without_note(operation_id, record)
                 continue
-            if is_late or self._is_gone(record.endpoint):
+            if is_late or self._has_exited(record.endpoint):
                 self._send_unknown(operation_id, record)
         self._records.expire(now_s)
 
@@ -274,9 +274,24 @@
         verdict = make_unknown_verdict(operation_id, Reason.DEADLINE, fresh_token)
         self._decide(operation_id, record, verdict)
 
-    def _is_gone(self, address: bytes) -> bool:
+    def _has_exited(self, address: bytes) -> bool:
         endpoint = self._endpoints.by_address.get(address)
-        return endpoint is not None and endpoint.gone
+        return endpoint is not None and endpoint.has_exited
+
+    def has_claim_at(self, address: bytes) -> bool:
+        """Return whether an undecided operation may run at a backend server.
+
+        Parameters
+        ----------
+        address : bytes
+            Packed address of the backend server.
+
+        Returns
+        -------
+        bool
+            Whether there is one.
+        """
+        return any(record.endpoint == address for record in self._undecided.values())
 
     def _send_unknown(self, operation_id: bytes, record: _ClaimRecord) -> None:
         fresh_token = self._callbacks.fresh_token(record.service)
--- a/src/agatethread/routing/_endpoints.py
+++ b/src/agatethread/routing/_endpoints.py
@@ -47,6 +47,7 @@
         "drained",
         "failures",
         "gone",
+        "has_exited",
         "first_announced_s",
         "in_flight",
         "incarnation",
@@ -72,8 +73,11 @@
         self.first_announced_s = now_s
         self.ramp_from_s = now_s
         self.lease_until_s = now_s + announcement.lease_ms / 1000
-        #: Whether it has left, its lease has expired or another run replaced it.
+        #: Whether it is told to be gone: it has left, its lease has expired or another
+        #: run replaced it. It gets no new work, and may still serve.
         self.gone = False
+        #: Whether its process has ended, as it answers nothing.
+        self.has_exited = False
         #: Whether the operator has drained it or evacuated its failure domain.
         self.drained = False
         #: Whether its failure domain is unreachable from here.
@@ -144,6 +148,7 @@
         )
         self._apply_fields(announcement)
         self.gone = announcement.leaving
+        self.has_exited = self.has_exited and self.gone
         self.lease_until_s = now_s + announcement.lease_ms / 1000
         self._lower_inherited(announcement, now_s)
         return has_changed
@@ -268,7 +273,7 @@
         )
 
     def _delete(self, endpoint: Endpoint) -> None:
-        endpoint.gone = True
+        endpoint.gone = endpoint.has_exited = True
         del self.by_address[endpoint.address]
         self._by_service[endpoint.service].pop(endpoint.address, None)
 
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -16,7 +16,8 @@
 
 from agatethread.settings import parse_address
 from agatethread.transfer import Assembler, FragmentSender, split_message
-from agatethread.wire import Announcement, Envelope, Kind, pack_address, sign
+from agatethread.wire import Envelope, Kind, pack_address
+from standins.announcer import Announcer
 from standins.commands import serve_commands
 
 Address = tuple[str, int]
@@ -26,6 +27,8 @@
 _ANSWER_RESEND_PERIOD_S = 5.0
 _STREAM_IDLE_S = 30.0
 _SHED_RETRY_MS = 50
+#: Time for which a server serves on after it has announced that it leaves.
+_LINGER_S = 1.5
 
 
 class _Stream:
@@ -45,27 +48,29 @@
     settings : dict
         ``name``, ``service``, ``failure_domain``, ``listen``, ``instances``, ``slots``,
         ``connection_limit``, ``service_time_ms``, ``push_interval_ms``,
-        ``announce_interval_ms``, ``cold_start_s``, ``seed``, ``announce_key``.
+        ``announce_interval_ms``, ``cold_start_s``, ``seed``, ``announce_key``;
+        optionally ``linger_s``.
     """
 
     def __init__(self, settings: dict[str, Any]):
         self._settings = settings
         self._random = random.Random(settings["seed"])
         self._incarnation = time.time_ns()
-        self._instances = [parse_address(text) for text in settings["instances"]]
-        self._fallbacks: list[Address] = []
-        self._last_ack_s = time.monotonic()
         self._streams: dict[int, _Stream] = {}
         self._running: dict[tuple[bytes, int], asyncio.Task] = {}
         self._pending_answers: dict[tuple[bytes, int], tuple[list[bytes], float]] = {}
         self._outbox = FragmentSender()
         self._assembler = Assembler(time.monotonic, 256 << 20, 256 << 20)
         self._seen_requests: set[tuple[bytes, int]] = set()
-        self._sequence = 0
+        self._announcer = Announcer(
+            settings,
+            self._incarnation,
+            lambda: (len(self._streams), len(self._running)),
+            lambda data, target: self._transport.sendto(data, target),
+        )
         self._draining = False
         self._started_s = time.monotonic()
         self._sheds_all = False
-        self._announcement_overrides: dict[str, int] | None = None
         self._new_work_times_s: list[float] = []
         self.runs: Counter[str] = Counter()
         self.counts: Counter[str] = Counter()
@@ -79,30 +84,7 @@
 
     def announce(self, leaving: bool = False) -> None:
         """Send an announcement to one or two entry instances."""
-        self._sequence += 1
-        settings = self._settings
-        announcement = Announcement(
-            endpoint_id=settings["name"],
-            incarnation=self._incarnation,
-            service=settings["service"],
-            failure_domain=settings["failure_domain"],
-            slots=settings["slots"],
-            connection_limit=settings["connection_limit"],
-            lease_ms=3 * settings["announce_interval_ms"],
-            draining=self._draining,
-            leaving=leaving,
-            open_streams=len(self._streams),
-            in_flight=len(self._running),
-            sequence=self._sequence,
-        )
-        for field, value in (self._announcement_overrides or {}).items():
-            setattr(announcement, field, value)
-        if settings["announce_key"]:
-            body = announcement.SerializeToString(deterministic=True)
-            announcement.mac = sign(bytes.fromhex(settings["announce_key"]), body)
-        envelope = Envelope(kind=Kind.ANNOUNCE, announcement=announcement)
-        for target in self._announce_targets():
-            self._transport.sendto(envelope.SerializeToString(), target)
+        self._announcer.announce(self._draining, leaving)
 
     async def announce_forever(self) -> None:
         """Send announcements periodically."""
@@ -110,21 +92,6 @@
             self.announce()
             await asyncio.sleep(self._settings["announce_interval_ms"] / 1000)
 
-    def _on_announce_ack(self, envelope: Envelope) -> None:
-        own_domain = [parse_address(text) for text in envelope.instances]
-        other_domains = [parse_address(text) for text in envelope.fallback_instances]
-        self._instances = own_domain or other_domains
-        self._fallbacks = other_domains
-        self._last_ack_s = time.monotonic()
-
-    def _announce_targets(self) -> list[Address]:
-        count = min(2, len(self._instances))
-        targets = self._random.sample(self._instances, count)
-        interval_s = self._settings["announce_interval_ms"] / 1000
-        if time.monotonic() - self._last_ack_s > 1.5 * interval_s:
-            targets += self._fallbacks
-        return targets
-
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Handle a datagram."""
         envelope = Envelope.FromString(data)
@@ -136,8 +103,7 @@
             self._pending_answers.pop((envelope.operation_id, envelope.attempt), None)
             return
         if kind == Kind.ANNOUNCE_ACK:
-            if envelope.incarnation == self._incarnation:
-                self._on_announce_ack(envelope)
+            self._announcer.on_ack(envelope)
             return
         if envelope.service != self._settings["service"]:
             self.counts["misdelivered"] += 1
@@ -145,7 +111,14 @@
         if envelope.incarnation != self._incarnation:
             self.counts["wrong_incarnation"] += 1
             return
-        if kind == Kind.OPEN:
+        if kind == Kind.PROBE:
+            reply = Envelope(
+                kind=Kind.PROBE_ACK,
+                sequence=envelope.sequence,
+                incarnation=self._incarnation,
+            )
+            self._transport.sendto(reply.SerializeToString(), addr)
+        elif kind == Kind.OPEN:
             self._on_open(envelope, addr)
         elif kind == Kind.REQUEST:
             self._on_request(envelope, addr)
@@ -234,7 +207,9 @@
             if expiry_s < now_s:
                 del self._pending_answers[key]
                 continue
-            self._transport.sendto(answer[0], self._random.choice(self._instances))
+            self._transport.sendto(
+                answer[0], self._random.choice(self._announcer.instances)
+            )
 
     def _on_missing(self, envelope: Envelope, addr: Address) -> None:
         answer, _ = self._pending_answers.get(
@@ -257,7 +232,7 @@
                     return_label=partial.first_fragment.return_label,
                     missing=indices,
                 )
-                target = self._random.choice(self._instances)
+                target = self._random.choice(self._announcer.instances)
                 self._transport.sendto(missing.SerializeToString(), target)
 
     def _push(self, flow_id: int, stream: _Stream, sequence: int) -> None:
@@ -269,7 +244,7 @@
             sequence=sequence,
             payload=stream.unacknowledged[sequence],
         )
-        target = self._random.choice(self._instances)
+        target = self._random.choice(self._announcer.instances)
         self._transport.sendto(push.SerializeToString(), target)
 
     def _on_request(self, envelope: Envelope, addr: Address) -> None:
@@ -341,7 +316,7 @@
             self.announce()
         self._sheds_all = command.get("sheds_all", self._sheds_all)
         if "lie" in command:
-            self._announcement_overrides = command["lie"]
+            self._announcer.overrides = command["lie"] or {}
         return self.result()
 
     def result(self) -> dict[str, Any]:
@@ -358,13 +333,14 @@
         }
 
     async def stop(self) -> None:
-        """Finish running requests, announce the end and write the result."""
+        """Finish running requests, announce the end, serve on for a while, and exit."""
         self._draining = True
         self.announce()
         while self._running or self._pending_answers:
             await asyncio.sleep(_RESEND_INTERVAL_S / 10)
             self._resend_answers()
         self.announce(leaving=True)
+        await asyncio.sleep(self._settings.get("linger_s", _LINGER_S))
         result = self.result() | {"runs": dict(self.runs)}
         Path(self._settings["result"]).write_text(json.dumps(result))
 
@@ -387,9 +363,11 @@
         )
     ]
     await stopped.wait()
+    # Announcements would take the one of the end back.
+    tasks.pop(0).cancel()
+    await server.stop()
     for task in tasks:
         task.cancel()
-    await server.stop()
 
 
 if __name__ == "__main__":
--- a/tests/entry/test_announcements.py
+++ b/tests/entry/test_announcements.py
@@ -15,7 +15,7 @@
     def make_handler(self, table):
         self.clock = Clock()
         self.endpoints = EndpointTable()
-        self.sent, self.gone, self.acknowledged = [], [], []
+        self.sent, self.gone, self.exited, self.acknowledged = [], [], [], []
         return AnnouncementHandler(
             ENTRY,
             table,
@@ -25,6 +25,7 @@
             self.clock,
             lambda endpoint: None,
             self.gone.append,
+            self.exited.append,
             Counters(),
         )
 
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -141,6 +141,26 @@
         self.finish(broken=open_count)
 
 
+class TestLeavingBackendServer(FleetCase):
+    def test_streams_stay_up_until_a_leaving_server_has_exited(self):
+        """It announces that it leaves, and serves on for a while."""
+        self.fleet.send_command("tab-2", drain=True)
+        time.sleep(1)
+        open_count = self.fleet.send_command("tab-2")["open_streams"]
+        self.assertGreater(open_count, 0)
+        self.fleet.send_signal("tab-2", signal.SIGTERM)
+        process = self.fleet.processes["tab-2"]
+        broken = lambda: self.counts()["streams_broken"]  # noqa: E731
+        while process.poll() is None:
+            broken_count = broken()
+            if process.poll() is None:
+                self.assertEqual(broken_count, 0)
+            time.sleep(0.05)
+        self.fleet.wait_for(lambda: broken() >= open_count, "resets", 6.0)
+        time.sleep(2)
+        self.finish(broken=open_count)
+
+
 class TestLargeMessages(FleetCase):
     def test_delivers_large_messages_despite_packet_loss(self):
         """Uploads and answers of 30 KB are complete despite lost packets."""
