--- a/src/agatethread/cli/_reset_causes.py
+++ b/src/agatethread/cli/_reset_causes.py
@@ -60,7 +60,7 @@
     ]
     # The lines of control instances have the reason; the first one found the end.
     ends.sort(key=lambda line: (_relays_end(line), line.time_s))
-    evidence = _describe_flow_evidence(reset)
+    evidence = _describe_silence(reset) + _describe_flow_evidence(reset)
     if not ends:
         return reset, f"reset: its run {run or '?'} had ended{evidence}"
     end = ends[0]
@@ -105,6 +105,18 @@
     return (verdicts or [reset])[-1], cause + _describe_flow_evidence(reset)
 
 
+def _describe_silence(reset: LogLine) -> str:
+    """Return for how long the request was unanswered, if the line tells."""
+    asked_ago_s = reset.fields.get("asked_ago_s")
+    if asked_ago_s is None:
+        return ""
+    text = f"; its request was sent again in vain for {asked_ago_s} s"
+    probe_failed_ago_s = reset.fields.get("probe_failed_ago_s")
+    if probe_failed_ago_s is not None:
+        text += f", a connection to the run failed {probe_failed_ago_s} s before"
+    return text
+
+
 def _describe_flow_evidence(reset: LogLine) -> str:
     """Return what shows that the flow was open at that run, if the line tells."""
     source = reset.fields.get("run_known_from")
--- a/tests/cli/test_explanation.py
+++ b/tests/cli/test_explanation.py
@@ -47,6 +47,22 @@
         self.assertEqual(explanation.deciding.instance, "core-1")
         self.assertIn("i-1 had ended (it said so)", explanation.cause)
 
+    def test_reset_at_an_ended_run_tells_that_its_request_was_unanswered(self):
+        """The end alone resets nothing."""
+        explanation = explain_lines(
+            placed(1.0),
+            line(1.9, Event.BACKEND_ENDED, "core-1", run="i-1", why="it said so"),
+            reset(
+                2.5,
+                "backend_ended",
+                run="i-1",
+                asked_ago_s=0.601,
+                probe_failed_ago_s=0.399,
+            ),
+        )
+        self.assertIn("sent again in vain for 0.601 s", explanation.cause)
+        self.assertIn("a connection to the run failed 0.399 s", explanation.cause)
+
     def test_reset_tells_who_found_the_end_and_from_what(self):
         """The finder's line has precedence; the cause names evidence and its age."""
         explanation = explain_lines(
