--- a/src/agatethread/datapath/_backend.py
+++ b/src/agatethread/datapath/_backend.py
@@ -63,6 +63,7 @@
         "failure_domain",
         "failures",
         "flows",
+        "has_successor",
         "id",
         "in_flight",
         "label",
@@ -120,6 +121,8 @@
         #: told of it.
         self.end = RUN_END_UNKNOWN
         self.end_source = b""
+        #: Whether a run that became known after its end has its address.
+        self.has_successor = False
         #: Whether the failure domain of the run is evacuated.
         self.evacuated = False
         #: Whether control instances receive its reports; assumed until they say no.
@@ -165,6 +168,8 @@
     @property
     def is_address_taken(self) -> bool:
         """Whether another run reports from its address: a connection shows nothing."""
+        if self.has_successor:
+            return True
         return self.end in (RUN_END_REPLACED, RUN_END_ADDRESS_TAKEN)
 
     def usable_weight(self, now_s: float) -> float:
@@ -297,6 +302,9 @@
             # The run answers other callers, so the packet was lost, maybe at a full
             # queue of the run.
             return
+        if self.ended:
+            # It gets no new flows anyway.
+            return
         self.last_unanswered_s = now_s
         self.failures += 1
         excess_count = self.failures - _AVOIDANCE_MIN_FAILURES
--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from agatethread.datapath._backend import Backend
+from agatethread.datapath._packets import Address
 from agatethread.datapath._resets import describe_run, format_source
 from agatethread.datapath._run_labels import RunLabels
 from agatethread.observability import Counters, Event, make_logger
@@ -59,6 +60,7 @@
         self._by_id: dict[str, Backend] = {}
         self._labels = RunLabels(now_s, self._next_report_s)
         self._by_service: dict[str, list[Backend]] = {}
+        self._ended_by_address: dict[Address, Backend] = {}
         self._evacuated: frozenset[str] = frozenset()
         #: Evacuated failure domain that still gets new flows; empty for none.
         self._exempt_domain = ""
@@ -208,6 +210,9 @@
         self._by_id[run.id] = backend
         self._labels.add(backend)
         self._by_service.setdefault(backend.service, []).append(backend)
+        ended = self._ended_by_address.get(backend.address)
+        if ended is not None and not run.ended:
+            ended.has_successor = True
         self._record_change(backend, Event.RUN_ADDED)
         return backend
 
@@ -236,6 +241,7 @@
         backend.ended = True
         backend.ended_s = self._now_s()
         backend.end, backend.end_source = end, source
+        self._ended_by_address[backend.address] = backend
         self._by_service[backend.service].remove(backend)
         self._count_change(Event.BACKEND_ENDED)
         log.info(
@@ -252,11 +258,17 @@
     def _revive(self, backend: Backend) -> None:
         """Take back an end that was concluded from another run at the address."""
         backend.ended, backend.ended_s = False, 0.0
+        self._forget_end(backend)
         backend.end, backend.end_source = RUN_END_UNKNOWN, b""
         self._by_service.setdefault(backend.service, []).append(backend)
         self._labels.add(backend)
         self._record_change(backend, Event.RUN_REVIVED)
 
+    def _forget_end(self, backend: Backend) -> None:
+        backend.has_successor = False
+        if self._ended_by_address.get(backend.address) is backend:
+            del self._ended_by_address[backend.address]
+
     def _count_change(self, event: Event) -> None:
         # The counter is named after the event.
         self._counters[event.replace(" ", "_")] += 1
@@ -299,6 +311,9 @@
 
     def _delete(self, backend: Backend) -> None:
         del self._by_id[backend.id]
+        self._forget_end(backend)
+        # Its last callers may have left requests unanswered.
+        backend.waiting.clear()
         self._labels.delete(backend, (backend.label, *backend.earlier_labels))
 
     def dump(self) -> list[dict[str, object]]:
--- a/tests/datapath/test_told_ends.py
+++ b/tests/datapath/test_told_ends.py
@@ -6,6 +6,7 @@
     RUN_END_REPORTED,
 )
 from tests.datapath.fixtures import ForwarderCase, opening, packet, run, table
+from tests.fakes import address
 
 SENT_ON = [("forward", 1)]
 RESET = [("reset", 7)]
@@ -68,6 +69,12 @@
                     self.assertEqual(self.handle(answered), SENT_ON)
                     self.assertEqual(self.timer_sends(1.0), [])
 
+    def test_instance_that_starts_after_the_end_forwards_the_flow(self):
+        """It was added, or restarted, while the run still serves."""
+        self.view.update_run(run(1, sequence=5, ended=True, end=RUN_END_REPORTED))
+        self.assertEqual(self.handle(packet(7, number=1)), SENT_ON)
+        self.assertEqual(self.ask(), SENT_ON)
+
     def test_flow_stays_up_while_its_run_accepts_connections(self):
         """A request without an answer alone shows no end, even a reported one."""
         self.end()
@@ -102,6 +109,31 @@
                 self.assertEqual(self.ask(), RESET)
                 self.assertEqual(self.probe_count, 0)
 
+    def test_flow_is_reset_where_a_later_run_has_the_address(self):
+        """It became known after the first one had reported its end."""
+        self.end()
+        self.assertEqual(self.ask(), SENT_ON)
+        self.view.update_run(run(9, address=address(1)))
+        self.clock.value_s += 0.8
+        request = packet(7, number=1, payload_bytes=10, sequence=200)
+        self.assertEqual(self.handle(request), RESET)
+
+    def test_run_that_reported_on_has_no_successor(self):
+        """Its end was assumed, and is taken back."""
+        self.end(RUN_END_ADDRESS_TAKEN)
+        self.view.update_run(run(9, address=address(1)))
+        self.view.update_run(run(1, sequence=6, draining=True))
+        self.view.update_run(run(1, sequence=6, ended=True, end=RUN_END_REPORTED))
+        self.assertEqual(self.ask(), SENT_ON)
+
+    def test_deleted_run_leaves_no_waiting_flow(self):
+        """Else it would be looked at for ever."""
+        self.end()
+        self.ask()
+        self.clock.value_s += 61.0
+        self.view.update_reporting(lambda *_: True)
+        self.assertEqual(self.forwarder.loads.runs_with_waiting_flows(), set())
+
     def test_request_that_cannot_be_retried_is_not_reset(self):
         """Its caller can do nothing with a reset."""
         self.forwarder.apply_table(table(3, idempotent=False))
