--- a/src/agatethread/datapath/_backends.py
+++ b/src/agatethread/datapath/_backends.py
@@ -1,6 +1,6 @@
 """Runs of backend servers that are known to an entry instance."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from agatethread.datapath._backend import Backend
 from agatethread.datapath._packets import Address
@@ -231,7 +231,7 @@
             earlier.started_ms = run.started_ms
             return earlier
         labels = [*earlier.earlier_labels, earlier.label]
-        self._labels.delete(earlier, labels)
+        self._forget(earlier, labels)
         backend = self._add(run, source)
         backend.earlier_labels = labels[-_MAX_EARLIER_LABELS:]
         self._labels.add_earlier(backend, backend.earlier_labels)
@@ -311,10 +311,13 @@
 
     def _delete(self, backend: Backend) -> None:
         del self._by_id[backend.id]
+        self._forget(backend, (backend.label, *backend.earlier_labels))
+
+    def _forget(self, backend: Backend, labels: Iterable[int]) -> None:
         self._forget_end(backend)
         # Its last callers may have left requests unanswered.
         backend.waiting.clear()
-        self._labels.delete(backend, (backend.label, *backend.earlier_labels))
+        self._labels.delete(backend, labels)
 
     def dump(self) -> list[dict[str, object]]:
         """Return the runs for a state dump.
--- a/src/agatethread/datapath/_flows.py
+++ b/src/agatethread/datapath/_flows.py
@@ -38,9 +38,9 @@
         "asked_s",
         "backend",
         "busy",
-        "is_asked_again",
         "is_label_seen",
         "opened",
+        "repeated_since_s",
         "window_start",
         "last_packet_s",
         "highest_sent",
@@ -63,10 +63,11 @@
         #: retransmission.
         self.waiting_since_s = now_s
         self.last_packet_s = now_s
-        #: Time of the first packet of the latest request or send window, and whether
-        #: the last packet was a counted retransmission of it.
+        #: Time of the first packet of the latest request or send window.
         self.asked_s = now_s
-        self.is_asked_again = False
+        #: Time of the first retransmission since the caller sent new data or had an
+        #: answer; None if there is none.
+        self.repeated_since_s: float | None = None
         #: Highest sequence numbers sent and acknowledged by the caller.
         self.highest_sent: int | None = None
         self.acknowledged: int | None = None
@@ -183,7 +184,6 @@
         if flow.backend is not backend:
             self._reassign(flow, backend)
         flow.is_label_seen = True
-        flow.is_asked_again = False
         flow.last_packet_s = now_s
         if packet.closes or packet.resets:
             if self.answer_monitor:
@@ -214,6 +214,7 @@
             return
         if _is_after(packet.acknowledged, previous):
             flow.acknowledged = packet.acknowledged
+            flow.repeated_since_s = None
             flow.backend.record_answer(now_s)
             if self.answer_monitor:
                 answer_bytes = (packet.acknowledged - previous) & _SEQUENCE_MASK
@@ -256,8 +257,10 @@
                 self._runs_with_waiting_flows.add(flow.backend)
                 flow.backend.record_failure(flow.waiting_since_s, now_s)
                 flow.waiting_since_s = now_s
-                flow.is_asked_again = True
+                if flow.repeated_since_s is None:
+                    flow.repeated_since_s = now_s
             return
+        flow.repeated_since_s = None
         is_first = flow.highest_sent is None
         flow.highest_sent = packet.sequence
         # After an opening the flow is busy before its first request.
--- a/src/agatethread/datapath/_forwarder.py
+++ b/src/agatethread/datapath/_forwarder.py
@@ -283,6 +283,7 @@
         outcome = decide_open_flow(
             is_known=backend is not None,
             is_allowed=backend is not None and self._is_allowed(packet, backend),
+            # Nothing shows it before a request is unanswered, see below.
             is_gone=False,
         )
         if outcome is OpenFlowOutcome.FORWARD:
--- a/src/agatethread/datapath/_lost_flows.py
+++ b/src/agatethread/datapath/_lost_flows.py
@@ -70,9 +70,9 @@
         if not backend.ended:
             return backend.is_marked_unreachable(now_s)
         flow = self._loads.get_flow(key)
-        if flow is None:
+        if flow is None or flow.repeated_since_s is None:
             return False
-        if flow.is_asked_again and not backend.is_address_taken:
+        if not backend.is_address_taken:
             self._suspects.probe_if_due(backend, now_s)
         return is_lost_at_ended_run(flow, now_s, self._running_since_s)
 
--- a/src/agatethread/datapath/_reachability.py
+++ b/src/agatethread/datapath/_reachability.py
@@ -37,9 +37,9 @@
 #: Waiting flows and instances that count as strong evidence.
 _STRONG_WAITING_FLOWS = 4
 _STRONG_OBSERVERS = 3
-#: Time for which a request to an ended run stays unanswered before its flow may be
-#: reset: until its second retransmission, 0.6 s after it.
-_MIN_UNANSWERED_S = 0.5
+#: Time from the first retransmission of a request to an ended run until its flow may
+#: be reset: the second one follows after 0.4 s.
+_MIN_REPEATED_S = 0.3
 #: Age up to which an answer of another run shows that callers reach this instance, and
 #: this instance reaches runs.
 _RECENT_ANSWER_S = 0.5
@@ -82,8 +82,9 @@
 
     That the end was told of shows nothing: a run reports its end while it still serves
     its flows, and a control instance may conclude an end wrongly. So the flow goes on
-    until its own request was sent again in vain, the run has answered no other caller
-    since, and its address either refuses connections or is used by another run.
+    until its own request was sent again twice, and since the first time the run has
+    answered no other caller, and connections to its address have failed or another run
+    uses it.
 
     Parameters
     ----------
@@ -99,12 +100,12 @@
     bool
         Whether its caller should retry the request on another flow.
     """
-    backend = flow.backend
-    if not flow.is_asked_again or now_s - flow.asked_s < _MIN_UNANSWERED_S:
+    backend, since_s = flow.backend, flow.repeated_since_s
+    if since_s is None or now_s - since_s < _MIN_REPEATED_S:
         return False
-    if flow.asked_s < running_since_s or backend.last_answer_s >= flow.asked_s:
+    if since_s < running_since_s or backend.last_answer_s >= since_s:
         return False
-    return backend.is_address_taken or backend.probes.failed_s >= flow.asked_s
+    return backend.is_address_taken or backend.probes.failed_s >= since_s
 
 
 def should_reset_flow(is_busy: bool, is_idempotent: bool) -> bool:
--- a/tests/datapath/test_told_ends.py
+++ b/tests/datapath/test_told_ends.py
@@ -134,6 +134,24 @@
         self.view.update_reporting(lambda *_: True)
         self.assertEqual(self.forwarder.loads.runs_with_waiting_flows(), set())
 
+    def test_replaced_run_leaves_nothing_behind(self):
+        """Neither a waiting flow nor its end."""
+        self.end()
+        self.ask()
+        self.view.update_run(run(1, started_ms=9))
+        self.assertEqual(self.forwarder.loads.runs_with_waiting_flows(), set())
+        self.assertEqual(self.view._ended_by_address, {})
+
+    def test_upload_with_single_losses_is_not_reset(self):
+        """New data between two retransmissions shows that the run takes it."""
+        self.end()
+        self.probe_outcome = ProbeOutcome.REFUSED
+        for sequence in range(200, 2_000, 100):
+            for pause_s, sent in ((0.05, sequence), (0.2, sequence - 100)):
+                self.clock.value_s += pause_s
+                data = packet(7, number=1, payload_bytes=100, sequence=sent)
+                self.assertEqual(self.handle(data), SENT_ON)
+
     def test_request_that_cannot_be_retried_is_not_reset(self):
         """Its caller can do nothing with a reset."""
         self.forwarder.apply_table(table(3, idempotent=False))
