--- a/src/agatethread/control/_membership.py
+++ b/src/agatethread/control/_membership.py
@@ -144,6 +144,10 @@
             Event.MEMBERS_CHANGE,
             voters=[member.name for member in members.members if member.voter],
             learners=[member.name for member in members.members if not member.voter],
+            silent_s={
+                name: round(progress.silent_s, 2)
+                for name, progress in self._progress().items()
+            },
             term=self._node.term,
         )
         try:
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -305,7 +305,7 @@
         Event.LEADER_NOT_VOTER: frozenset({"term"}),
         Event.LEADER_WRITE_FAILED: frozenset({"term"}),
         Event.CANDIDACY_FAILED: frozenset({"error"}),
-        Event.MEMBERS_CHANGE: frozenset({"voters", "learners", "term"}),
+        Event.MEMBERS_CHANGE: frozenset({"voters", "learners", "silent_s", "term"}),
         Event.MEMBERS_NOT_CHANGED: frozenset({"why"}),
         Event.JOIN_FAILED: frozenset({"target", "error"}),
         Event.FIRST_START: frozenset({"name", "founders"}),
