--- a/benchmarks/fuzz_members.py
+++ b/benchmarks/fuzz_members.py
@@ -42,6 +42,7 @@
     reads: int = 0
     disks_lost: int = 0
     replaced: int = 0
+    planned_stops: int = 0
     took_s: float = 0.0
     #: Equal for two runs that sent and drew the same at the same virtual times.
     fingerprint: str = ""
@@ -65,6 +66,8 @@
         self._world = world
         self._random = random.Random(seed)
         self._report = report
+        #: Of its own, so that the sequence of the other draws stays that of the seed.
+        self._stop_random = random.Random(f"stops {seed}")
         #: Disks lost since every instance last voted.
         self._lost_count = 0
         self._changes = 0
@@ -107,9 +110,17 @@
     async def _restart(self) -> None:
         address = self._one()
         if address is not None:
-            await self._world.kill(address)
+            await self._stop(address)
             await self._world.start(address)
 
+    async def _stop(self, address: str) -> None:
+        """End an instance: by a crash, or as planned with an announcement."""
+        if self._stop_random.random() < 0.5 or address in self._world.network.frozen:
+            await self._world.kill(address)
+            return
+        self._report.planned_stops += 1
+        await self._world.leave(address)
+
     def _may_lose(self) -> bool:
         return self._lost_count < self._world.losses_borne
 
@@ -129,6 +140,7 @@
             return
         self._lost_count += 1
         self._report.replaced += 1
+        await self._stop(address)
         await self._world.replace(address)
 
     async def _freeze(self) -> None:
--- a/benchmarks/member_world.py
+++ b/benchmarks/member_world.py
@@ -22,7 +22,11 @@
 from benchmarks.control_world import call_over
 from benchmarks.faulty_network import Network
 
+#: Time after which an instance that has started must bear the next loss.
+CATCHUP_S = 4.0
+VOTER_TIMEOUT_S = CATCHUP_S / 4
 _MANAGE_INTERVAL_S = 0.25
+_HANDOVER_LIMIT_S = 3.0
 _CHANGE_LIMIT_S = 2.5
 _READ_LIMIT_S = 0.8
 _TRIES = 20
@@ -116,6 +120,7 @@
             node,
             ControlMember(target=address, api=address, failure_domain=address),
             2 * self.losses_borne + 1,
+            VOTER_TIMEOUT_S,
             lambda: [one for one in self.nodes if one != address],
             lambda target: self._calls(address, target),
             asyncio.get_running_loop().time,
@@ -144,6 +149,11 @@
         self.network.thaw(address)
         await node.stop()
 
+    async def leave(self, address: str) -> None:
+        """Stop an instance as planned: it announces its stop before it ends."""
+        await self._keepers[address].leave(_HANDOVER_LIMIT_S)
+        await self.kill(address)
+
     def lose_disk(self, address: str) -> None:
         """Remove a dead instance's files."""
         shutil.rmtree(self._folder / address, ignore_errors=True)
@@ -152,6 +162,10 @@
         """End an instance for good and start an empty one at a new address."""
         await self.kill(address)
         self.lose_disk(address)
+        return await self.start_successor(address)
+
+    async def start_successor(self, address: str) -> str:
+        """Start an empty instance, at a new address, in the place of another one."""
         fresh = self._new_address()
         self.addresses[self.addresses.index(address)] = fresh
         await self.start(fresh)
@@ -181,7 +195,7 @@
 
             return call
 
-        methods = ("on_vote", "on_append", "on_snapshot", "on_join")
+        methods = ("on_vote", "on_append", "on_snapshot", "on_join", "on_leave")
         return PeerCalls(*(caller(method) for method in methods))
 
     async def _call(self, source: str, target: str, method: str, request):
@@ -191,6 +205,8 @@
                 return None
             if method == "on_join":
                 return self._keepers[target].on_join(request.member)
+            if method == "on_leave":
+                return self._keepers[target].on_leave(request.name)
             return (
                 getattr(node, method)(request)
                 if request.receiver == node.name
--- a/src/agatethread/control/_followers.py
+++ b/src/agatethread/control/_followers.py
@@ -11,8 +11,9 @@
 
     #: Index of the entry to send next, and of the last entry known to be replicated.
     next_index: int
+    #: Time of its last answer, or before one of its last known sign of life.
+    last_answer_s: float
     match_index: int = 0
-    last_answer_s: float = 0.0
     #: Number of the last round in which the follower answered the leader.
     confirmed_round: int = 0
     #: Set when there is something to send before the next heartbeat.
--- a/src/agatethread/control/_log_port.py
+++ b/src/agatethread/control/_log_port.py
@@ -14,7 +14,7 @@
 from agatethread.control._roles import PeerCalls
 from agatethread.rpc import Credentials, add_port
 from agatethread.wire import control_pb2_grpc
-from agatethread.wire.control_pb2 import ControlMember
+from agatethread.wire.control_pb2 import ControlMember, LeaveReply
 
 #: Timeout of each call, also of one that installs a snapshot on a slow disk.
 _CALL_TIMEOUT_S = 0.6
@@ -35,7 +35,11 @@
         self._server: grpc.aio.Server | None = None
 
     async def serve(
-        self, node: RaftNode, on_join: Callable[[ControlMember], bool], address: str
+        self,
+        node: RaftNode,
+        on_join: Callable[[ControlMember], bool],
+        on_leave: Callable[[str], LeaveReply],
+        address: str,
     ) -> None:
         """Start the server.
 
@@ -45,11 +49,13 @@
             The member that handles the calls.
         on_join : callable
             Called with each instance that asks to join; returns whether it is accepted.
+        on_leave : callable
+            Called with the name of each member that is about to stop; returns a reply.
         address : str
             ``IP:port`` to listen at.
         """
         self._server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
-        servicer = ReplicationServicer(node, on_join)
+        servicer = ReplicationServicer(node, on_join, on_leave)
         control_pb2_grpc.add_ReplicationServicer_to_server(servicer, self._server)
         add_port(self._server, self._credentials, address)
         await self._server.start()
--- a/src/agatethread/control/_members.py
+++ b/src/agatethread/control/_members.py
@@ -39,8 +39,8 @@
     return next((member for member in members.members if member.name == name), None)
 
 
-def majority_count(members: Members) -> int:
-    """Return the number of voters that is a majority.
+def voter_sets(members: Members) -> list[list[str]]:
+    """Return the sets of voters, each of which needs a majority.
 
     Parameters
     ----------
@@ -49,10 +49,30 @@
 
     Returns
     -------
-    int
-        The smallest number that is more than half of the voters.
+    list of list of str
+        The names of each set: one set, or while a voter is replaced the old and the
+        new one.
+    """
+    voters = [member for member in members.members if member.voter]
+    old_names = [voter.name for voter in voters if not voter.incoming]
+    new_names = [voter.name for voter in voters if not voter.outgoing]
+    return [old_names] if old_names == new_names else [old_names, new_names]
+
+
+def is_replacing(members: Members) -> bool:
+    """Return whether a voter is being replaced.
+
+    Parameters
+    ----------
+    members : Members
+        The members.
+
+    Returns
+    -------
+    bool
+        Whether there are two sets of voters.
     """
-    return len(voter_names(members)) // 2 + 1
+    return any(member.incoming or member.outgoing for member in members.members)
 
 
 def has_majority(members: Members, names: Iterable[str]) -> bool:
@@ -68,14 +88,17 @@
     Returns
     -------
     bool
-        Whether more than half of the voters are among them.
+        Whether more than half of each set of voters are among them.
     """
-    matching = set(names).intersection(voter_names(members))
-    return len(matching) >= majority_count(members)
+    matching = set(names)
+    return all(
+        2 * len(matching.intersection(voters)) > len(voters)
+        for voters in voter_sets(members)
+    )
 
 
 def replicated_index(members: Members, match_indexes: Mapping[str, int]) -> int:
-    """Return the last index that is replicated to a majority of the voters.
+    """Return the last index that is replicated to a majority of each set of voters.
 
     Parameters
     ----------
@@ -89,7 +112,11 @@
     int
         The index; 0 without voters.
     """
-    indexes = sorted(
-        (match_indexes.get(name, 0) for name in voter_names(members)), reverse=True
+    return min(
+        _replicated_index_in(voters, match_indexes) for voters in voter_sets(members)
     )
-    return indexes[majority_count(members) - 1] if indexes else 0
+
+
+def _replicated_index_in(voters: list[str], match_indexes: Mapping[str, int]) -> int:
+    indexes = sorted((match_indexes.get(name, 0) for name in voters), reverse=True)
+    return indexes[len(indexes) // 2] if indexes else 0
--- a/src/agatethread/control/_membership.py
+++ b/src/agatethread/control/_membership.py
@@ -7,19 +7,31 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from agatethread.control._member_changes import MemberProgress, compute_next_members
+from agatethread.control._member_changes import (
+    MemberProgress,
+    MemberRequests,
+    compute_next_members,
+)
 from agatethread.control._members import find_member
 from agatethread.control._raft import RaftNode
-from agatethread.control._roles import PeerCalls
+from agatethread.control._roles import PeerCalls, Role
 from agatethread.exceptions import AgatethreadError, UnavailableError
 from agatethread.observability import Event, make_logger
-from agatethread.wire.control_pb2 import ControlMember, JoinRequest, Members
+from agatethread.wire.control_pb2 import (
+    ControlMember,
+    JoinRequest,
+    LeaveReply,
+    LeaveRequest,
+    Members,
+)
 
 #: Without a message from a leader for longer, the instance asks to join; longer than an
 #: election.
 _JOIN_AFTER_SILENCE_S = 1.5
-#: Retention of a join request; covers several retries of the call.
-_JOIN_REQUEST_RETENTION_S = 2.0
+#: Retention of a request to join or leave; covers several retries of the call.
+_REQUEST_RETENTION_S = 2.0
+#: Interval at which a member that is about to stop asks whether it may.
+_LEAVE_INTERVAL_S = 0.1
 #: Longest wait for a commit; then the next change is computed from the current members.
 _CHANGE_TIMEOUT_S = 2.5
 
@@ -39,6 +51,8 @@
         This instance's addresses and failure domain, without a name.
     voter_count : int
         Wanted number of voters; 2f + 1 for f losses to be tolerated.
+    voter_timeout_s : float
+        A voter that is silent for longer is replaced if a learner is ready.
     list_targets : callable
         Returns the Raft addresses of the reachable control instances.
     connect : callable
@@ -54,6 +68,7 @@
         node: RaftNode,
         address: ControlMember,
         voter_count: int,
+        voter_timeout_s: float,
         list_targets: Callable[[], list[str]],
         connect: Callable[[str], PeerCalls],
         now_s: Callable[[], float],
@@ -64,12 +79,15 @@
         self._own_member.CopyFrom(address)
         self._own_member.name = node.name
         self._voter_count = voter_count
+        self._voter_timeout_s = voter_timeout_s
         self._list_targets = list_targets
         self._connect = connect
         self._now_s = now_s
         self._spawn = spawn
         self._calls: dict[str, PeerCalls] = {}
         self._joiners: dict[str, tuple[float, ControlMember]] = {}
+        #: Time of the last announcement of each member that is about to stop.
+        self._leaving_s: dict[str, float] = {}
         self._is_changing = False
 
     def on_join(self, member: ControlMember) -> bool:
@@ -87,26 +105,113 @@
         """
         if not self._node.has_committed_in_term:
             return False
+        self._leaving_s.pop(member.name, None)
         self._joiners[member.name] = (self._now_s(), member)
+        self.start_next_change()
         return True
 
+    def on_leave(self, name: str) -> LeaveReply:
+        """Store a member's announcement that it is about to stop.
+
+        Parameters
+        ----------
+        name : str
+            Name of the member.
+
+        Returns
+        -------
+        LeaveReply
+            Whether this member leads, and whether the other one may stop.
+        """
+        if not self._node.has_committed_in_term:
+            return LeaveReply()
+        self._joiners.pop(name, None)
+        self._leaving_s[name] = self._now_s()
+        self.start_next_change()
+        return LeaveReply(accepted=True, done=self._may_stop(name))
+
+    def _may_stop(self, name: str) -> bool:
+        if not self._node.can_change_members:
+            return False
+        member = find_member(self._node.members, name)
+        if member is None or not member.voter:
+            return True
+        return member.leaving and not self._has_learner()
+
+    def _has_learner(self) -> bool:
+        """Return whether a learner answers, which may soon be ready to vote."""
+        return any(
+            self._node.silence_s(member.name) < self._voter_timeout_s
+            for member in self._node.members.members
+            if not member.voter and member.name not in self._leaving_s
+        )
+
+    async def leave(self, timeout_s: float) -> bool:
+        """Announce that this member is about to stop, until it may.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest time to wait.
+
+        Returns
+        -------
+        bool
+            Whether the leader has replied that the member may stop.
+        """
+        node = self._node
+        node.is_leaving = True
+        deadline_s = self._now_s() + timeout_s
+        while self._now_s() < deadline_s:
+            if await self._announce_leaving():
+                return True
+            if node.leader_silence_s > _JOIN_AFTER_SILENCE_S:
+                return False  # nobody leads who could change the members
+            await asyncio.sleep(_LEAVE_INTERVAL_S)
+        return False
+
+    async def _announce_leaving(self) -> bool:
+        node = self._node
+        if node.role is Role.LEADER:
+            return self.on_leave(node.name).done
+        is_done = await self._send_leave()
+        return is_done or not node.is_voter
+
+    async def _send_leave(self) -> bool:
+        leader = find_member(self._node.members, self._node.leader)
+        if leader is None:
+            return False
+        try:
+            call = self._get_calls(leader.target).leave
+            reply = await call(LeaveRequest(name=self._node.name))
+        except UnavailableError as error:
+            log.debug(Event.LEAVE_FAILED, target=leader.target, error=str(error))
+            return False
+        return reply.done
+
     def request_join(self) -> None:
         """Send join requests to all reachable control instances, if needed.
 
-        They are sent if this instance is not a member, or has had no message from a
-        leader for `_JOIN_AFTER_SILENCE_S`.
+        They are sent if this instance is not a member, is still marked as leaving, or
+        has had no message from a leader for `_JOIN_AFTER_SILENCE_S`.
         """
-        is_member = find_member(self._node.members, self._node.name) is not None
-        if is_member and self._node.leader_silence_s < _JOIN_AFTER_SILENCE_S:
+        if self._node.is_leaving:
+            return
+        member = find_member(self._node.members, self._node.name)
+        is_staying = member is not None and not member.leaving
+        if is_staying and self._node.leader_silence_s < _JOIN_AFTER_SILENCE_S:
             return
         for target in self._list_targets():
             self._spawn(self._join(target))
 
-    async def _join(self, target: str) -> None:
+    def _get_calls(self, target: str) -> PeerCalls:
         if target not in self._calls:
             self._calls[target] = self._connect(target)
+        return self._calls[target]
+
+    async def _join(self, target: str) -> None:
         try:
-            await self._calls[target].join(JoinRequest(member=self._own_member))
+            await self._get_calls(target).join(JoinRequest(member=self._own_member))
         except UnavailableError as error:
             log.debug(Event.JOIN_FAILED, target=target, error=str(error))
 
@@ -115,19 +220,34 @@
         node = self._node
         if self._is_changing or not node.can_change_members:
             return
-        oldest_s = self._now_s() - _JOIN_REQUEST_RETENTION_S
+        members = compute_next_members(
+            node.members,
+            node.name,
+            self._recent_requests(),
+            self._progress(),
+            self._voter_count,
+            self._voter_timeout_s,
+        )
+        if members is not None:
+            self._is_changing = True
+            self._spawn(self._commit_change(members))
+
+    def _recent_requests(self) -> MemberRequests:
+        oldest_s = self._now_s() - _REQUEST_RETENTION_S
         self._joiners = {
             name: (requested_s, member)
             for name, (requested_s, member) in self._joiners.items()
             if requested_s > oldest_s
         }
-        joiners = [member for _, member in self._joiners.values()]
-        members = compute_next_members(
-            node.members, node.name, joiners, self._progress(), self._voter_count
+        self._leaving_s = {
+            name: requested_s
+            for name, requested_s in self._leaving_s.items()
+            if requested_s > oldest_s
+        }
+        return MemberRequests(
+            tuple(member for _, member in self._joiners.values()),
+            frozenset(self._leaving_s),
         )
-        if members is not None:
-            self._is_changing = True
-            self._spawn(self._commit_change(members))
 
     def _progress(self) -> dict[str, MemberProgress]:
         node = self._node
@@ -140,6 +260,7 @@
         }
 
     async def _commit_change(self, members: Members) -> None:
+        node = self._node
         log.info(
             Event.MEMBERS_CHANGE,
             voters=[member.name for member in members.members if member.voter],
@@ -151,9 +272,12 @@
             term=self._node.term,
         )
         try:
-            change = self._node.propose_members(members)
+            change = node.propose_members(members)
             await asyncio.wait_for(change, _CHANGE_TIMEOUT_S)
         except (AgatethreadError, TimeoutError) as error:
             log.warning(Event.MEMBERS_NOT_CHANGED, why=repr(error))
+            return
         finally:
             self._is_changing = False
+        # A replacement has two steps; the second one should not wait for the timer.
+        self.start_next_change()
--- a/src/agatethread/control/_peers.py
+++ b/src/agatethread/control/_peers.py
@@ -46,4 +46,5 @@
         make_call("Append"),
         make_call("InstallSnapshot"),
         make_call("Join"),
+        make_call("Leave"),
     )
--- a/src/agatethread/control/_raft.py
+++ b/src/agatethread/control/_raft.py
@@ -15,7 +15,6 @@
 from agatethread.control._members import (
     find_member,
     has_majority,
-    majority_count,
     replicated_index,
     voter_names,
 )
@@ -95,6 +94,10 @@
         self._recover()
         #: Time of a leader's last message, or of the start; a pre-vote depends on it.
         self._leader_contact_s = now_s()
+        #: The leader that sent that message; empty if there was none.
+        self._contacted_leader = ""
+        #: Whether this member is about to stop; then it is no candidate.
+        self.is_leaving = False
         #: Start of the election timeout; reset by a leader, a granted vote, candidacy.
         self._timeout_start_s = now_s()
         # Short, for an early election after all members have restarted; if there is a
@@ -179,15 +182,11 @@
         """
         self._listeners.append(listener)
 
-    @property
-    def _majority_count(self) -> int:
-        return majority_count(self.members)
-
-    @property
-    def _votes_needed(self) -> int:
+    def _has_enough_votes(self, granted_names: list[str]) -> bool:
         if self._vote_state.may_vote:
-            return self._majority_count
-        return len(voter_names(self.members))  # may have lost votes and entries
+            return has_majority(self.members, granted_names)
+        # May have lost votes and entries.
+        return set(voter_names(self.members)).issubset(granted_names)
 
     def _draw_timeout_s(self) -> float:
         return self._settings.election_timeout_s * self._random.uniform(1.0, 2.0)
@@ -203,7 +202,7 @@
                 continue
             if self._now_s() - self._timeout_start_s < self._timeout_s:
                 continue
-            if not self.is_voter or not self._disk_health.may_be_candidate:
+            if not self._may_be_candidate:
                 continue
             try:
                 await self._run_election()
@@ -211,6 +210,12 @@
                 log.error(Event.CANDIDACY_FAILED, error=str(error))
                 self._disk_health.pause_candidacy()
 
+    @property
+    def _may_be_candidate(self) -> bool:
+        return (
+            self.is_voter and not self.is_leaving and self._disk_health.may_be_candidate
+        )
+
     def _check_quorum(self) -> None:
         min_answer_s = self._now_s() - 2 * self._settings.election_timeout_s
         reachable = [
@@ -241,7 +246,6 @@
             self._become_leader()
 
     async def _collect_votes(self, term: int, pre_vote: bool) -> bool:
-        needed = self._votes_needed
         # Tasks: `as_completed` would start plain coroutines in the order of a set, and
         # runs with equal seeds would differ.
         requests = [
@@ -261,23 +265,24 @@
             for name in voter_names(self.members)
             if name != self.name
         ]
-        vote_count = 1
+        granted_names = [self.name]
         for next_vote in asyncio.as_completed(requests):
-            vote_count += await next_vote
-            if vote_count >= needed:
+            granted_names += await next_vote
+            if self._has_enough_votes(granted_names):
                 return True
-        return vote_count >= needed
+        return self._has_enough_votes(granted_names)
 
-    async def _request_vote(self, peer: PeerCalls, request: VoteRequest) -> bool:
+    async def _request_vote(self, peer: PeerCalls, request: VoteRequest) -> list[str]:
+        """Return the name of a voter that grants its vote; an empty list otherwise."""
         try:
             reply = await peer.vote(request)
         except UnavailableError:
-            return False
+            return []
         if self.should_stop:
-            return False
+            return []
         if reply.term > self.term and not reply.granted:
             self._adopt_term_of_reply(reply.term)
-        return reply.granted
+        return [request.receiver] if reply.granted else []
 
     def _adopt_term_of_reply(self, term: int) -> None:
         try:
@@ -310,6 +315,7 @@
         self._disk_health.record_success()
         self._followers.clear()
         self._update_followers()
+        self._contacted_leader = ""
         self._advance_commit()
 
     def _update_followers(self) -> None:
@@ -317,7 +323,7 @@
         others = self._other_members()
         for name in others:
             if name not in self._followers:
-                follower = Follower(self.last_index + 1, last_answer_s=self._now_s())
+                follower = Follower(self.last_index + 1, self._last_contact_s(name))
                 self._followers[name] = follower
                 self.add_future(self._replicate(name, follower, self.term))
         for name in [
@@ -327,6 +333,13 @@
         ]:
             self._followers.pop(name).wake.set()
 
+    def _last_contact_s(self, name: str) -> float:
+        # The previous leader has been silent since its last message, not only since
+        # the election. Of the others nothing is known before they answer.
+        if name == self._contacted_leader:
+            return self._leader_contact_s
+        return self._now_s()
+
     def on_vote(self, request: VoteRequest) -> VoteReply:
         """Handle a candidate's request for a vote.
 
@@ -453,6 +466,7 @@
             self._adopt_term(term)
         self._become_follower(leader)
         self._leader_contact_s = self._now_s()
+        self._contacted_leader = leader
         self._timeout_start_s = self._leader_contact_s
         return True
 
--- a/src/agatethread/control/_replication.py
+++ b/src/agatethread/control/_replication.py
@@ -14,6 +14,8 @@
     ControlMember,
     JoinReply,
     JoinRequest,
+    LeaveReply,
+    LeaveRequest,
     SnapshotRequest,
     VoteReply,
     VoteRequest,
@@ -31,13 +33,19 @@
         This member.
     on_join : callable, optional
         Called with each instance that asks to join; returns whether it is accepted.
+    on_leave : callable, optional
+        Called with the name of each member that is about to stop; returns the reply.
     """
 
     def __init__(
-        self, node: RaftNode, on_join: Callable[[ControlMember], bool] | None = None
+        self,
+        node: RaftNode,
+        on_join: Callable[[ControlMember], bool] | None = None,
+        on_leave: Callable[[str], LeaveReply] | None = None,
     ):
         self._node = node
         self._on_join = on_join
+        self._on_leave = on_leave
 
     async def _handle(self, handler, request, context: grpc.aio.ServicerContext):
         if request.receiver and request.receiver != self._node.name:
@@ -74,3 +82,11 @@
         """Handle an instance's request to join."""
         accepted = self._on_join is not None and self._on_join(request.member)
         return JoinReply(accepted=accepted)
+
+    async def Leave(  # noqa: N802
+        self, request: LeaveRequest, context: grpc.aio.ServicerContext
+    ) -> LeaveReply:
+        """Handle the announcement of a member that is about to stop."""
+        if self._on_leave is None:
+            return LeaveReply()
+        return self._on_leave(request.name)
--- a/src/agatethread/control/_roles.py
+++ b/src/agatethread/control/_roles.py
@@ -8,6 +8,8 @@
     AppendRequest,
     JoinReply,
     JoinRequest,
+    LeaveReply,
+    LeaveRequest,
     SnapshotRequest,
     VoteReply,
     VoteRequest,
@@ -30,8 +32,8 @@
     vote, append, install_snapshot : callable
         Send the request and return the reply; raise `UnavailableError` if there is
         none.
-    join : callable, optional
-        As above, if members may join.
+    join, leave : callable, optional
+        As above, if the members may change.
     """
 
     def __init__(
@@ -40,8 +42,10 @@
         append: Callable[[AppendRequest], Awaitable[AppendReply]],
         install_snapshot: Callable[[SnapshotRequest], Awaitable[AppendReply]],
         join: Callable[[JoinRequest], Awaitable[JoinReply]] | None = None,
+        leave: Callable[[LeaveRequest], Awaitable[LeaveReply]] | None = None,
     ):
         self.vote = vote
         self.append = append
         self.install_snapshot = install_snapshot
         self.join = join
+        self.leave = leave
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -220,7 +220,8 @@
         self._log_port = port = make_log_port(self.settings)
         self._membership = self._make_membership(node, port)
         target = listen_address(self.settings.target, self.settings.listen_host)
-        await port.serve(node, self._membership.on_join, target)
+        membership = self._membership
+        await port.serve(node, membership.on_join, membership.on_leave, target)
         self.node = node
         await self.add_runtime_dependency(node)
         report_opened(node)
@@ -246,6 +247,7 @@
             node,
             address,
             settings.voter_count,
+            settings.voter_timeout_s,
             lambda: [
                 self._get_log_target(link.address)
                 for link in self.subscription.reachable_links()
@@ -261,9 +263,20 @@
             self._membership.start_next_change()
 
     async def leave(self) -> None:
-        """Log the stop; called before it. Other control instances need no notice."""
+        """Announce the stop, and wait until another instance votes in place of this.
+
+        Does not wait if no other one can; at most `handover_timeout_s`.
+        """
         leads = self.node is not None and self.node.role is Role.LEADER
         log.info(Event.LEAVING, leads=leads)
+        if self._membership is None or self.node is None:
+            return
+        started_s = self.timers.now_s()
+        is_done = await self._membership.leave(self.settings.handover_timeout_s)
+        log.info(
+            Event.VOTE_HANDED_OVER if is_done else Event.VOTE_NOT_HANDED_OVER,
+            waited_s=round(self.timers.now_s() - started_s, 3),
+        )
 
     async def on_stop(self) -> None:
         """Close hints, Raft server and registry; the Raft member is stopped next."""
--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -80,6 +80,9 @@
     MEMBERS_CHANGE = "members change"
     MEMBERS_NOT_CHANGED = "members not changed"
     JOIN_FAILED = "not taken in"
+    LEAVE_FAILED = "stop not announced"
+    VOTE_HANDED_OVER = "stop announced: vote handed over or no successor"
+    VOTE_NOT_HANDED_OVER = "vote not handed over in time"
     FIRST_START = "first start"
     EMPTY_DISK = "empty disk: joining as a new member"
     LOG_OPENED = "log opened"
@@ -308,6 +311,9 @@
         Event.MEMBERS_CHANGE: frozenset({"voters", "learners", "silent_s", "term"}),
         Event.MEMBERS_NOT_CHANGED: frozenset({"why"}),
         Event.JOIN_FAILED: frozenset({"target", "error"}),
+        Event.LEAVE_FAILED: frozenset({"target", "error"}),
+        Event.VOTE_HANDED_OVER: frozenset({"waited_s"}),
+        Event.VOTE_NOT_HANDED_OVER: frozenset({"waited_s"}),
         Event.FIRST_START: frozenset({"name", "founders"}),
         Event.EMPTY_DISK: frozenset({"name"}),
         Event.LOG_OPENED: frozenset({"name", "last_index", "term", "members"}),
--- a/tests/control/test_member_changes.py
+++ b/tests/control/test_member_changes.py
@@ -1,16 +1,22 @@
 import unittest
+from itertools import combinations
 
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from agatethread.control._member_changes import MemberProgress, compute_next_members
+from agatethread.control._member_changes import (
+    MemberProgress,
+    MemberRequests,
+    compute_next_members,
+)
 from agatethread.control._members import has_majority, replicated_index, voter_names
 from agatethread.wire.control_pb2 import ControlMember, Members
 
 PRESENT = MemberProgress(silent_s=0.1, lag_count=0)
 SILENT = MemberProgress(silent_s=5.0, lag_count=9)
 BEHIND = MemberProgress(silent_s=0.1, lag_count=50)
+VOTER_TIMEOUT_S = 1.0
 
 
 def make_member(name, voter=True, target=None, domain=None):
@@ -27,18 +33,34 @@
     return Members(members=listed)
 
 
+def quorums(members):
+    """Return all sets of members that can commit an entry or elect a leader."""
+    names = voter_names(members)
+    subsets = (
+        frozenset(chosen)
+        for count in range(len(names) + 1)
+        for chosen in combinations(names, count)
+    )
+    return [chosen for chosen in subsets if has_majority(members, chosen)]
+
+
 def three_voters(*more):
     """Return three voters and further members."""
     return make_members(make_member("a"), make_member("b"), make_member("c"), *more)
 
 
 class TestNextMembers(unittest.TestCase):
-    def names_after_changes(self, current, joiners=(), silent=(), behind=(), target=3):
+    def names_after_changes(
+        self, current, joiners=(), silent=(), behind=(), target=3, leaving=()
+    ):
         """Return the names of voters and learners after changes until none is due."""
+        requests = MemberRequests(tuple(joiners), frozenset(leaving))
         for _ in range(10):
             progress = {member.name: PRESENT for member in current.members}
             progress |= dict.fromkeys(silent, SILENT) | dict.fromkeys(behind, BEHIND)
-            changed = compute_next_members(current, "a", joiners, progress, target)
+            changed = compute_next_members(
+                current, "a", requests, progress, target, VOTER_TIMEOUT_S
+            )
             if changed is None:
                 break
             self.check_step(current, changed)
@@ -51,6 +73,11 @@
         self.assertLessEqual(len(old - new), 1)
         self.assertLessEqual(len(new - old), 1)
 
+    def assert_quorums_meet(self, before, after):
+        for old in quorums(before):
+            for new in quorums(after):
+                self.assertTrue(old & new, (old, new))
+
     def test_keeps_members_when_all_answer(self):
         """With three voters that answer, no change is due."""
         self.assertEqual(
@@ -79,6 +106,79 @@
         )
         self.assertEqual(found_names, (["a", "b", "c"], ["d"]))
 
+    def test_replacement_waits_neither_for_old_voter_nor_for_new_one(self):
+        """The voters that stay commit each step of a replacement alone."""
+        before = three_voters(make_member("d", voter=False))
+        progress = {"b": PRESENT, "c": SILENT, "d": PRESENT}
+        begun = compute_next_members(
+            before, "a", MemberRequests(), progress, 3, VOTER_TIMEOUT_S
+        )
+        # The learner crashes now.
+        progress["d"] = SILENT
+        done = compute_next_members(
+            begun, "a", MemberRequests(), progress, 3, VOTER_TIMEOUT_S
+        )
+        for members in (begun, done):
+            self.assertTrue(has_majority(members, ["a", "b"]))
+        self.assertFalse(has_majority(begun, ["a", "d"]))
+        self.assertEqual(voter_names(done), ["a", "b", "d"])
+        self.assert_quorums_meet(before, begun)
+        self.assert_quorums_meet(begun, done)
+
+    def test_replaces_voter_that_announces_its_stop(self):
+        """A voter that announces its stop is replaced while it still answers."""
+        found_names = self.names_after_changes(
+            three_voters(make_member("d", voter=False)), leaving=["c"]
+        )
+        self.assertEqual(found_names, (["a", "b", "d"], []))
+
+    def test_replaces_leader_that_announces_its_stop(self):
+        """A leader that announces its stop hands its vote over like any other."""
+        found_names = self.names_after_changes(
+            three_voters(make_member("d", voter=False)), leaving=["a"]
+        )
+        self.assertEqual(found_names, (["b", "c", "d"], []))
+
+    def test_replaces_voter_by_learner_that_comes_after_its_stop(self):
+        """The log keeps the announcement of a voter that stopped without successor."""
+        current = three_voters()
+        for requests in (
+            MemberRequests(leaving_names=frozenset("c")),
+            MemberRequests(joiners=(make_member("d"),)),
+            MemberRequests(),
+            MemberRequests(),
+        ):
+            progress = {member.name: PRESENT for member in current.members}
+            current = compute_next_members(
+                current, "a", requests, progress, 3, VOTER_TIMEOUT_S
+            )
+        self.assertEqual(voter_names(current), ["a", "b", "d"])
+
+    def test_keeps_voter_that_returns_after_its_stop(self):
+        """A voter that joins again after its announced stop is not replaced."""
+        marked = make_member("c")
+        marked.leaving = True
+        current = make_members(make_member("a"), make_member("b"), marked)
+        found_names = self.names_after_changes(current, joiners=[make_member("c")])
+        self.assertEqual(found_names, (["a", "b", "c"], []))
+        progress = {"b": PRESENT, "c": PRESENT}
+        unmarked = compute_next_members(
+            current,
+            "a",
+            MemberRequests((make_member("c"),)),
+            progress,
+            3,
+            VOTER_TIMEOUT_S,
+        )
+        self.assertFalse(any(member.leaving for member in unmarked.members))
+
+    def test_removes_learner_that_announces_its_stop(self):
+        """A learner that announces its stop is no candidate for a vote."""
+        found_names = self.names_after_changes(
+            three_voters(make_member("d", voter=False)), leaving=["d"], silent=["c"]
+        )
+        self.assertEqual(found_names, (["a", "b", "c"], []))
+
     def test_replaces_lost_disk_in_one_step(self):
         """A voter whose disk was lost is replaced by the new member at its address."""
         replacement = make_member("c#1", voter=False, target="c")
@@ -119,6 +219,7 @@
         self.members = three_voters()
         self.silent_names: set[str] = set()
         self.lost_names: set[str] = set()
+        self.leaving_names: set[str] = set()
         self.joiners: dict[str, ControlMember] = {}
         self.joined_count = 0
 
@@ -133,7 +234,10 @@
         if not leaders:
             return
         joiners = list(self.joiners.values())
-        changed = compute_next_members(self.members, leaders[0], joiners, progress, 3)
+        requests = MemberRequests(tuple(joiners), frozenset(self.leaving_names))
+        changed = compute_next_members(
+            self.members, leaders[0], requests, progress, 3, VOTER_TIMEOUT_S
+        )
         if changed is None:
             return
         # A change is made only if the reachable voters can commit it.
@@ -144,12 +248,11 @@
         self.members = changed
 
     def check(self, before, after):
-        old = set(voter_names(before)) - self.lost_names
-        new = set(voter_names(after)) - self.lost_names
-        needed_old = len(voter_names(before)) // 2 + 1
-        needed_new = len(voter_names(after)) // 2 + 1
-        # Any two majorities of these sizes intersect.
-        assert needed_old + needed_new > len(old | new), (old, new)
+        for old in quorums(before):
+            for new in quorums(after):
+                if (old | new) & self.lost_names:
+                    continue  # a lost disk does not vote under its old name
+                assert old & new, (old, new)
 
     @rule(nth=st.integers(0, 5))
     def silence(self, nth):
@@ -159,6 +262,12 @@
     @rule()
     def return_all(self):
         self.silent_names = set(self.lost_names)
+        self.leaving_names = set()
+
+    @rule(nth=st.integers(0, 5))
+    def leave(self, nth):
+        names = [member.name for member in self.members.members]
+        self.leaving_names.add(names[nth % len(names)])
 
     @rule(nth=st.integers(0, 5))
     def lose_disk(self, nth):
--- a/tests/control/test_policies.py
+++ b/tests/control/test_policies.py
@@ -30,6 +30,8 @@
             is_first_start=False,
             report_interval_s=1.0,
             losses_borne=0,
+            catchup_s=4.0,
+            grace_s=6.0,
             data_dir=folder.name,
         )
 
--- a/tests/control/test_raft.py
+++ b/tests/control/test_raft.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from agatethread.control import LogStorage, PeerCalls, RaftNode, Role
+from agatethread.control._members import has_majority
 from agatethread.control._vote_state import VoteState
 from agatethread.exceptions import DiskFullError, UnavailableError
 from agatethread.settings import ControlSettings
@@ -296,7 +297,9 @@
             VoteState, "enable_voting", lambda *_: None
         )
         plain_majority = mock.patch.object(
-            RaftNode, "_votes_needed", property(lambda node: node._majority_count)
+            RaftNode,
+            "_has_enough_votes",
+            lambda node, names: has_majority(node.members, names),
         )
         with unchecked_votes, unchanged_vote_right, plain_majority:
             self.assertTrue(self.run_world(scenario))
--- a/tests/control/test_routing_control.py
+++ b/tests/control/test_routing_control.py
@@ -57,6 +57,8 @@
                 is_first_start=is_first_start,
                 report_interval_s=0.3,
                 losses_borne=1,
+                catchup_s=4.0,
+                grace_s=6.0,
                 data_dir=str(self.folder / str(number)),
                 timing=ControlSettings(
                     "",
@@ -231,6 +233,34 @@
         await fleet.put(document(2))
         self.assertEqual(await fleet.read(), b"2")
 
+    async def test_stopped_instance_hands_its_vote_to_its_successor(self):
+        """Guards against a stop that leaves the successor without a vote."""
+        fleet = await self.start_fleet()
+        await fleet.put(document(1))
+        await fleet.start(3)
+        await fleet.until(
+            lambda: all(
+                control.node is not None and len(control.node.members.members) == 4
+                for control in fleet.running.values()
+            )
+        )
+        for number in (2, 0):
+            await fleet.running[number].leave()
+            await fleet.kill(number)
+            if number == 2:
+                self.assertNotIn(fleet.founder(2).name, fleet.voters())
+                await fleet.start(4)
+                await fleet.until(
+                    lambda: (
+                        len(fleet.running[4].dump().get("log", {}).get("members", ()))
+                        > 3
+                    )
+                )
+        await fleet.until(lambda: len(fleet.voters() or ()) == 3)
+        self.assertNotIn(fleet.founder(0).name, fleet.voters())
+        await fleet.put(document(2))
+        self.assertEqual(await fleet.read(), b"2")
+
     async def test_keeps_state_after_restart_of_all(self):
         """After a restart of all instances, table and backend servers are known."""
         fleet = await self.start_fleet()
--- a/tests/datapath/test_answer_reports.py
+++ b/tests/datapath/test_answer_reports.py
@@ -121,6 +121,8 @@
             is_first_start=True,
             report_interval_s=10.0,
             losses_borne=0,
+            catchup_s=4.0,
+            grace_s=6.0,
             data_dir=self.folder.name,
             **fields,
         )
--- a/tests/platform/test_roles.py
+++ b/tests/platform/test_roles.py
@@ -54,6 +54,7 @@
         "is_first_start": True,
         "report_interval_s": 0.2,
         "losses_borne": 0,
+        "catchup_s": 4.0,
         "grace_s": 0.5,
         "link_bits_per_s": 1e9,
     }
