--- a/src/agatethread/observability/_events.py
+++ b/src/agatethread/observability/_events.py
@@ -338,7 +338,7 @@
         Event.SETTINGS_UNREADABLE: frozenset({"why"}),
         Event.CALL_FAILED: frozenset({"path"}),
         Event.CALL_UNREADABLE: frozenset({"error"}),
-        Event.CALL_TOO_LARGE: frozenset({"limit_bytes"}),
+        Event.CALL_TOO_LARGE: frozenset({"status", "why"}),
         Event.CONNECTION_LOST: frozenset({"error"}),
         Event.CONNECTION_CLOSED: frozenset(),
     }
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 
-from agatethread_platform.http import HttpServer, Response
+from agatethread_platform.http import MAX_BODY_BYTES, HttpServer, Response
 
 from tests.fakes import free_port
 
@@ -122,3 +122,98 @@
             await asyncio.wait_for(idle.readexactly(1), 5)
         self.release.set()
         self.assertIn(b"200", await self.read_responses(waiting))
+
+
+class TestMemory(unittest.IsolatedAsyncioTestCase):
+    """Requests and responses of many connections together take little memory."""
+
+    async def asyncSetUp(self):
+        self.release = asyncio.Event()
+        self.response = Response(200, b"{}")
+        self.port = free_port()
+        self.server = HttpServer(f"127.0.0.1:{self.port}", self.handle)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.writers = []
+
+    async def handle(self, request):
+        await self.release.wait()
+        return self.response
+
+    async def send(self, data):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.close)
+        self.writers.append(writer)
+        writer.write(data)
+        return reader
+
+    def put(self, size_bytes, sent_bytes):
+        head = f"PUT /a HTTP/1.1\r\nhost: x\r\ncontent-length: {size_bytes}\r\n\r\n"
+        return head.encode() + b"x" * sent_bytes
+
+    async def read_status(self, reader):
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+        return int(head.split()[1])
+
+    async def test_too_large_body_gets_its_refusal(self):
+        """Guards against a reset that a caller takes for a failure and sends again."""
+        for size_bytes in (MAX_BODY_BYTES + 1, 8 * MAX_BODY_BYTES):
+            with self.subTest(size_bytes=size_bytes):
+                reader = await self.send(self.put(size_bytes, size_bytes))
+                answer = await asyncio.wait_for(reader.read(), 5)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 413 "), answer)
+                self.assertIn(b"body over", answer)
+
+    async def test_bodies_of_many_connections(self):
+        """Guards against bodies that fit one by one and not together."""
+        size_bytes = MAX_BODY_BYTES
+        readers = [
+            await self.send(self.put(size_bytes, size_bytes - 1)) for _ in range(40)
+        ]
+        await asyncio.sleep(0.5)
+        self.assertLess(self.server.budget.held_bytes, 17 << 20)
+        # A small request is served beside them.
+        self.release.set()
+        self.assertEqual(await self.read_status(await self.send(PUT)), 200)
+        for writer in self.writers[:40]:
+            writer.write(b"x")
+        statuses = [await self.read_status(reader) for reader in readers]
+        self.assertEqual(set(statuses), {200, 503})
+        for writer in self.writers:
+            writer.close()
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.server.budget.held_bytes, 0)
+
+    async def test_responses_that_are_not_read(self):
+        """Guards against callers that ask for large responses and don't read them."""
+        self.response = Response(200, b"x" * MAX_BODY_BYTES)
+        self.release.set()
+        for _ in range(60):
+            await self.send(b"GET /a HTTP/1.1\r\n\r\n" * 8)
+        await asyncio.sleep(0.5)
+        self.assertLess(self.server.budget.held_bytes, 17 << 20)
+        for writer in self.writers:
+            writer.transport.abort()
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.server.budget.held_bytes, 0)
+        self.response = Response(200, b"{}")
+        self.assertEqual(await self.read_status(await self.send(PUT)), 200)
+
+    async def test_reservation_ends_with_each_kind_of_request(self):
+        """Guards against a budget that is used up by requests of the past."""
+        self.release.set()
+        for data in (
+            PUT + PUT,
+            PUT[:-1],
+            b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n" + PUT,
+            PUT + b"\x00\xff\r\n\r\n",
+            self.put(MAX_BODY_BYTES * 2, MAX_BODY_BYTES * 2),
+        ):
+            with self.subTest(data=data[:60]):
+                reader = await self.send(data)
+                await asyncio.sleep(0.05)
+                self.writers[-1].close()
+                with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+                    await asyncio.wait_for(reader.readexactly(1 << 20), 5)
+                await asyncio.sleep(0.05)
+                self.assertEqual(self.server.budget.held_bytes, 0)
