--- a/src/agatethread/control/_orders.py
+++ b/src/agatethread/control/_orders.py
@@ -85,7 +85,7 @@
         return leader.api if leader else ""
 
     async def put_routes(self, document: RoutingDocument, source: bytes) -> None:
-        """Commit a routing table, unless its version or a later one is committed.
+        """Check and commit a routing table.
 
         Parameters
         ----------
@@ -94,30 +94,69 @@
         source : bytes
             Text of the table; `read_routes` returns it unchanged.
 
+        Raises
+        ------
+        DocumentError, NotLeaderError, UnavailableError, DiskFullError
+            As `prepare_routes` and `commit_routes`.
+        """
+        await self.commit_routes(await self.prepare_routes(document, source))
+
+    async def prepare_routes(
+        self, document: RoutingDocument, source: bytes
+    ) -> PutRoutes:
+        """Check and encode a routing table.
+
+        Parameters
+        ----------
+        document : RoutingDocument
+            The table.
+        source : bytes
+            Text of the table; `read_routes` returns it unchanged.
+
+        Returns
+        -------
+        PutRoutes
+            The change to commit.
+
         Raises
         ------
         DocumentError
             If the table is invalid.
+        """
+        check_document(document)
+        await asyncio.sleep(0)  # other work takes its turn
+        table = encode_table(document)
+        await asyncio.sleep(0)
+        return PutRoutes(
+            version=document.version,
+            source=zlib.compress(source, 1),
+            table=table.SerializeToString(deterministic=True),
+        )
+
+    async def commit_routes(self, put: PutRoutes) -> None:
+        """Commit a routing table, unless its version or a later one is committed.
+
+        Parameters
+        ----------
+        put : PutRoutes
+            The change.
+
+        Raises
+        ------
         NotLeaderError
             If another instance leads.
         UnavailableError, DiskFullError
             If the outcome is unknown; the request may be sent again.
         """
-        check_document(document)
         node = self._require_node()
         current_version = node.documents.routes.version
-        if document.version <= current_version:
+        if put.version <= current_version:
             log.info(
                 Event.CHANGE_SUPERSEDED,
-                version=document.version,
+                version=put.version,
                 version_held=current_version,
             )
             return
-        put = PutRoutes(
-            version=document.version,
-            source=zlib.compress(source, 1),
-            table=encode_table(document).SerializeToString(deterministic=True),
-        )
         started_s = self._now_s()
         outcome = await self._propose(node, Command(put_routes=put))
         took_s = self._now_s() - started_s
@@ -125,7 +164,7 @@
         self.change_s.record(took_s)
         log.info(
             Event.CHANGE_AGREED,
-            version=document.version,
+            version=put.version,
             version_before=current_version,
             index=outcome.index,
             term=node.term,
--- a/src/agatethread/exceptions.py
+++ b/src/agatethread/exceptions.py
@@ -1,5 +1,7 @@
 """Exceptions that agatethread raises."""
 
+from reprlib import Repr
+
 __all__ = [
     "AgatethreadError",
     "ChangeRefusedError",
@@ -24,6 +26,11 @@
 ]
 
 
+#: Describes a wrong value of any size and depth in a short text.
+_BRIEF = Repr()
+_BRIEF.maxstring = _BRIEF.maxother = 120
+
+
 class AgatethreadError(Exception):
     """Base class of the errors of this package."""
 
@@ -64,7 +71,8 @@
         self.field = field
         self.value = value
         self.expected = expected
-        super().__init__(f"{source}: {field}: got {value!r}, expected {expected}")
+        got = _BRIEF.repr(value)
+        super().__init__(f"{source}: {field}: got {got}, expected {expected}")
 
 
 class RouteConflictError(FieldError):
--- a/src/agatethread/routing/_table.py
+++ b/src/agatethread/routing/_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from itertools import islice
 from math import inf
 
 from agatethread.exceptions import (
@@ -19,6 +20,8 @@
 
 #: Urgency of routes whose document sets none: less urgent than any that can be set.
 URGENCY_NOT_SET = 1_000
+#: Faults of a document that are reported at most.
+_MAX_FAULTS = 10
 #: Longest timeout that fits into a 32-bit field; longer ones are reduced to it.
 _MAX_TIMEOUT_MS = (1 << 32) - 1
 #: Largest urgency number, so the least urgent, that a document may set; 0 is the most
@@ -112,9 +115,9 @@
     Raises
     ------
     DocumentError
-        If it is invalid; contains an error for each fault.
+        If it is invalid; contains an error for each of the first faults.
     """
-    faults = list(_find_faults(document))
+    faults = list(islice(_find_faults(document), _MAX_FAULTS))
     if faults:
         raise DocumentError(f"version {document.version} has faults", faults)
 
--- a/src/agatethread/settings/__init__.py
+++ b/src/agatethread/settings/__init__.py
@@ -24,7 +24,11 @@
 )
 
 if TYPE_CHECKING:
-    from agatethread.settings._checking import parse_data_class
+    from agatethread.settings._checking import (
+        MAX_FAULTS,
+        convert_to_data_class,
+        parse_data_class,
+    )
     from agatethread.settings._document import ServiceDocument, parse_document
     from agatethread.settings._loading import (
         load_policies,
@@ -36,7 +40,9 @@
 #: Names imported on first use, with their modules. These import cattrs and json5, which
 #: are slow to import and which not every process needs.
 _LAZY_MODULES = {
+    "MAX_FAULTS": "_checking",
     "ServiceDocument": "_document",
+    "convert_to_data_class": "_checking",
     "load_policies": "_loading",
     "load_settings": "_loading",
     "parse_document": "_document",
@@ -47,6 +53,7 @@
 
 __all__ = [
     "DEFAULT_POLICIES",
+    "MAX_FAULTS",
     "NO_PARTS",
     "ControlSettings",
     "EntrySettings",
@@ -56,6 +63,7 @@
     "ServiceDocument",
     "Settings",
     "TlsSettings",
+    "convert_to_data_class",
     "format_address",
     "listen_address",
     "load_policies",
--- a/src/agatethread/settings/_checking.py
+++ b/src/agatethread/settings/_checking.py
@@ -1,22 +1,26 @@
-"""Converts JSON into frozen data classes and reports every fault."""
+"""Converts JSON into frozen data classes and reports the first faults.
+
+The cost of a text is bounded by its size: what is sound is converted by cattrs, which
+stops at its first error, and only the parts that it refuses are walked through, up to
+`MAX_FAULTS` faults.
+"""
 
 import dataclasses
 import functools
 import json
 from collections.abc import Callable, Iterator, Mapping
-from typing import Any, get_args, get_type_hints
+from itertools import chain, islice
+from types import NoneType
+from typing import Any, get_args, get_origin, get_type_hints
 
 import cattrs
 import json5
-from cattrs.errors import (
-    ClassValidationError,
-    ForbiddenExtraKeysError,
-    IterableValidationError,
-)
 
 from agatethread.exceptions import FieldError
 from agatethread.settings._addresses import parse_address
 
+#: Faults that are reported at most; the rest of the text is not checked then.
+MAX_FAULTS = 10
 _UNITS = {
     "_s": "seconds",
     "_ms": "milliseconds",
@@ -29,8 +33,7 @@
 class _WrongValueError(Exception):
     """A raw value does not have the expected type."""
 
-    def __init__(self, value: object, expected: str):
-        self.value = value
+    def __init__(self, expected: str):
         self.expected = expected
         super().__init__(expected)
 
@@ -58,19 +61,26 @@
     def structure(value: Any, _: Any) -> Any:
         is_bool = isinstance(value, bool)
         if is_bool != (expected_type is bool):
-            raise _WrongValueError(value, name)
+            raise _WrongValueError(name)
         if expected_type is float and isinstance(value, int):
-            return float(value)
+            return _to_float(value)
         if not isinstance(value, expected_type):
-            raise _WrongValueError(value, name)
+            raise _WrongValueError(name)
         return value
 
     return structure
 
 
+def _to_float(value: int) -> float:
+    try:
+        return float(value)
+    except OverflowError:
+        raise _WrongValueError("a number that fits 64 bits") from None
+
+
 def _make_converter(forbid_extra_keys: bool) -> cattrs.Converter:
     converter = cattrs.Converter(
-        forbid_extra_keys=forbid_extra_keys, detailed_validation=True
+        forbid_extra_keys=forbid_extra_keys, detailed_validation=False
     )
     for kind, name in (
         (int, "an integer"),
@@ -82,6 +92,10 @@
     return converter
 
 
+def _is_list_hint(hint: Any) -> bool:
+    return get_origin(hint) is tuple
+
+
 _CONVERTER = _make_converter(forbid_extra_keys=True)
 _LENIENT_CONVERTER = _make_converter(forbid_extra_keys=False)
 
@@ -91,39 +105,14 @@
     return f"{expected} ({unit})" if unit else expected
 
 
-def _structuring_faults(
-    source: str, path: str, error: BaseException, raw: Any
-) -> Iterator[FieldError]:
-    if isinstance(error, ClassValidationError):
-        with_notes, without_notes = error.group_exceptions()
-        for inner, note in with_notes:
-            field = f"{path}.{note.name}" if path else note.name
-            part = raw.get(note.name) if isinstance(raw, dict) else raw
-            yield from _structuring_faults(source, field, inner, part)
-        for inner in without_notes:
-            yield from _structuring_faults(source, path, inner, raw)
-        return
-    if isinstance(error, IterableValidationError):
-        with_notes, _ = error.group_exceptions()
-        for inner, note in with_notes:
-            part = raw[note.index] if isinstance(raw, list) else raw
-            yield from _structuring_faults(source, f"{path}[{note.index}]", inner, part)
-        return
-    if isinstance(error, ForbiddenExtraKeysError):
-        for key in sorted(error.extra_fields):
-            field = f"{path}.{key}" if path else key
-            value = raw.get(key) if isinstance(raw, dict) else raw
-            yield FieldError(source, field, value, "no such field")
-        return
-    if isinstance(error, _WrongValueError):
-        expected = _expected_with_unit(path, error.expected)
-        yield FieldError(source, path, error.value, expected)
-        return
-    if isinstance(error, KeyError):
-        field = f"{path}.{error.args[0]}" if path else str(error.args[0])
-        yield FieldError(source, field, None, "a value; the field is required")
-        return
-    yield FieldError(source, path, raw, str(error) or "another type")
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FieldRule:
+    name: str
+    hint: Any
+    #: Data class of the field's value; None for any other value.
+    nested: type | None
+    is_required: bool
+    constraints: Mapping[str, Any]
 
 
 def _nested_class(hint: Any) -> type | None:
@@ -131,12 +120,9 @@
     return next((kind for kind in candidates if dataclasses.is_dataclass(kind)), None)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _FieldRule:
-    name: str
-    #: Data class of the field's value; None for any other value.
-    nested: type | None
-    constraints: Mapping[str, Any]
+def _is_required(field: dataclasses.Field) -> bool:
+    defaults = (field.default, field.default_factory)
+    return all(default is dataclasses.MISSING for default in defaults)
 
 
 @functools.cache
@@ -144,11 +130,88 @@
     # Cached, because resolving the type hints is slow.
     hints = get_type_hints(data_class)
     return tuple(
-        _FieldRule(field.name, _nested_class(hints[field.name]), field.metadata)
+        _FieldRule(
+            field.name,
+            hints[field.name],
+            _nested_class(hints[field.name]),
+            _is_required(field),
+            field.metadata,
+        )
         for field in dataclasses.fields(data_class)
     )
 
 
+class _TypeCheck:
+    """Finds the values of a text that don't have the expected types.
+
+    Parameters
+    ----------
+    source : str
+        Name of the text in errors.
+    converter : cattrs.Converter
+        Converts values; raises an error for the first wrong one.
+    forbids_unknown : bool
+        Whether unknown fields are faults.
+    """
+
+    def __init__(self, source: str, converter: cattrs.Converter, forbids_unknown: bool):
+        self._source = source
+        self._converter = converter
+        self._forbids_unknown = forbids_unknown
+
+    def find_faults(self, path: str, raw: Any, hint: Any) -> Iterator[FieldError]:
+        """Yield the faults of a value, one by one as they are asked for."""
+        error = self._first_error(raw, hint)
+        if error is None:
+            return
+        options = [each for each in get_args(hint) if each is not NoneType]
+        if dataclasses.is_dataclass(hint):
+            yield from self._find_in_object(path, raw, hint)
+        elif _is_list_hint(hint) and isinstance(raw, list):
+            for index, item in enumerate(raw):
+                yield from self.find_faults(f"{path}[{index}]", item, options[0])
+        elif get_origin(hint) is dict and isinstance(raw, dict):
+            for key, value in raw.items():
+                yield from self.find_faults(f"{path}[{key!r}]", value, options[1])
+        elif NoneType in get_args(hint) and len(options) == 1:
+            yield from self.find_faults(path, raw, options[0])
+        else:
+            expected = getattr(error, "expected", "another type")
+            yield self._make_fault(path, raw, _expected_with_unit(path, expected))
+
+    def _first_error(self, raw: Any, hint: Any) -> Exception | None:
+        try:
+            self._converter.structure(raw, hint)
+        except Exception as error:
+            return error
+        return None
+
+    def _find_in_object(
+        self, path: str, raw: Any, data_class: type
+    ) -> Iterator[FieldError]:
+        if not isinstance(raw, dict):
+            yield self._make_fault(path, raw, "an object")
+            return
+        rules = _rules_of(data_class)
+        for rule in rules:
+            name = _join(path, rule.name)
+            if rule.name in raw:
+                yield from self.find_faults(name, raw[rule.name], rule.hint)
+            elif rule.is_required:
+                yield self._make_fault(name, None, "a value; the field is required")
+        if not self._forbids_unknown:
+            return
+        for key in sorted(raw.keys() - {rule.name for rule in rules}):
+            yield self._make_fault(_join(path, key), raw[key], "no such field")
+
+    def _make_fault(self, path: str, raw: Any, expected: str) -> FieldError:
+        return FieldError(self._source, path, raw, expected)
+
+
+def _join(path: str, name: str) -> str:
+    return f"{path}.{name}" if path else name
+
+
 def _check_ranges(
     source: str, path: str, data_class: type, raw: dict[str, Any]
 ) -> Iterator[FieldError]:
@@ -156,9 +219,10 @@
         if rule.name not in raw:
             continue
         value = raw[rule.name]
-        name = f"{path}.{rule.name}" if path else rule.name
+        name = _join(path, rule.name)
         if rule.nested is None:
-            yield from _check_value(source, name, value, rule.constraints)
+            if rule.constraints:
+                yield from _check_value(source, name, value, rule.constraints)
             continue
         rows = enumerate(value) if isinstance(value, list) else ((None, value),)
         for number, row in rows:
@@ -235,7 +299,7 @@
     Raises
     ------
     ExceptionGroup
-        `error_group`, with a `FieldError` for each fault.
+        `error_group`, with a `FieldError` for each of the first `MAX_FAULTS` faults.
     """
     try:
         raw = _load(text, is_plain_json)
@@ -245,13 +309,56 @@
     if not isinstance(raw, dict):
         fault = FieldError(source, "(whole text)", type(raw).__name__, "an object")
         raise error_group(f"{source} can't be read", [fault])
+    return convert_to_data_class(
+        source, "", raw, data_class, error_group, ignore_unknown
+    )
+
+
+def convert_to_data_class(
+    source: str,
+    path: str,
+    raw: Any,
+    data_class: type,
+    error_group: type[ExceptionGroup],
+    ignore_unknown: bool = False,
+) -> Any:
+    """Convert and check a value of parsed JSON into a frozen data class.
+
+    Parameters
+    ----------
+    source : str
+        Name of the text in errors.
+    path : str
+        Path of the value in the text; empty for the whole text.
+    raw : object
+        The value.
+    data_class : type
+        As for `parse_data_class`.
+    error_group : type
+        Exception group to raise with the faults.
+    ignore_unknown : bool, default=False
+        Whether unknown fields are ignored.
 
-    faults = list(_check_ranges(source, "", data_class, raw))
+    Returns
+    -------
+    object
+        An instance of `data_class`.
+
+    Raises
+    ------
+    ExceptionGroup
+        `error_group`, with a `FieldError` for each of the first `MAX_FAULTS` faults.
+    """
+    converter = _LENIENT_CONVERTER if ignore_unknown else _CONVERTER
+    faults: Iterator[FieldError] = iter(())
+    if isinstance(raw, dict):
+        faults = _check_ranges(source, path, data_class, raw)
     try:
-        converter = _LENIENT_CONVERTER if ignore_unknown else _CONVERTER
         data = converter.structure(raw, data_class)
-    except ClassValidationError as error:
-        faults += _structuring_faults(source, "", error, raw)
-    if faults:
-        raise error_group(f"{source} has faults", faults)
+    except Exception:  # cattrs documents no common base class
+        type_check = _TypeCheck(source, converter, not ignore_unknown)
+        faults = chain(faults, type_check.find_faults(path, raw, data_class))
+    first_faults = list(islice(faults, MAX_FAULTS))
+    if first_faults:
+        raise error_group(f"{source} has faults", first_faults)
     return data
