--- a/src/agatethread/settings/_checking.py
+++ b/src/agatethread/settings/_checking.py
@@ -66,11 +66,23 @@
             return _to_float(value)
         if not isinstance(value, expected_type):
             raise _WrongValueError(name)
+        if expected_type is str and not _is_utf8(value):
+            raise _WrongValueError("a string without lone surrogates")
         return value
 
     return structure
 
 
+def _is_utf8(text: str) -> bool:
+    if text.isascii():
+        return True
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _to_float(value: int) -> float:
     try:
         return float(value)
@@ -89,6 +101,16 @@
         (bool, "true or false"),
     ):
         converter.register_structure_hook(kind, _strict_hook(kind, name))
+
+    # cattrs itself accepts any iterable, such as a string or an object's keys.
+    def structure_list(value: Any, hint: Any) -> tuple:
+        if not isinstance(value, list):
+            raise _WrongValueError("a list")
+        item_hint = get_args(hint)[0]
+        structure = converter.get_structure_hook(item_hint)
+        return tuple(structure(item, item_hint) for item in value)
+
+    converter.register_structure_hook_func(_is_list_hint, structure_list)
     return converter
 
 
--- a/tests/platform/test_body_costs.py
+++ b/tests/platform/test_body_costs.py
@@ -28,7 +28,7 @@
     *('{"host":"1.2.3.4","path_prefix":"/1/","timeout_ms":1,"service":"a"}',),
     *('{"host":"1.2.3.4","path_prefix":"/1/","timeout_ms":1,"service":"b"}',),
     *('{"host":"1.2.3.4","path_prefix":"/1/","timeout_ms":0,"backends":[1,2]}',),
-    *('{"name":"a"}', '{"service":"a","weight":1}'),
+    *('{"name":"a"}', '{"name":"\\ud800"}', '"\\ud800"', '{"service":"a","weight":1}'),
 )
 WRAPPERS = (
     '{"version":3,"routes":[%s],"services":[{"name":"a"}]}',
@@ -156,3 +156,20 @@
                         except (DocumentError, FieldError) as error:
                             faults = getattr(error, "exceptions", ())
                             self.assertLessEqual(len(faults), MAX_FAULTS)
+
+    def test_values_that_no_message_can_hold(self):
+        """Guards against a failing handler for numbers and names of other sizes."""
+        route = '{"host":"1.2.3.4","path_prefix":"/1/","timeout_ms":9,%s}'
+        body = '{"version":%s,"routes":[%s],"services":[{"name":%s}]}'
+        backends = '"backends":[{"service":"a","weight":%s}]'
+        for version, part, name in (
+            (1 << 64, '"service":"a"', '"a"'),
+            (10**400, '"service":"a"', '"a"'),
+            (1, backends % (1 << 32), '"a"'),
+            (1, backends % "-1", '"a"'),
+            (1, '"service":"\\ud800"', '"\\ud800"'),
+        ):
+            text = body % (version, route % part, name)
+            with self.subTest(text=text[:60]):
+                _, error = longest_step_s(text.encode())
+                self.assertIsInstance(error, DocumentError)
--- a/tests/platform/test_json_bodies.py
+++ b/tests/platform/test_json_bodies.py
@@ -125,6 +125,18 @@
             with self.subTest(body=body[:60]), self.assertRaises(DocumentError):
                 decode_configuration(body)
 
+    def test_rejects_rows_that_are_no_list(self):
+        """Guards against an empty text or object that is acknowledged as no routes."""
+        for name in ("routes", "services"):
+            for value in ("", {}, {"x": 1}, "x", 1, None):
+                with self.subTest(name=name, value=value):
+                    with self.assertRaises(DocumentError):
+                        decode_configuration(with_value(CONFIGURATION, [name], value))
+        for value in ("", {}):
+            path = ("routes", 1, "backends")
+            with self.subTest(value=value), self.assertRaises(DocumentError):
+                decode_configuration(with_value(CONFIGURATION, path, value))
+
     @given(st.binary(max_size=300))
     def test_decodes_or_rejects_any_bytes(self, body):
         """Any bytes give a document or a typed error."""
