--- a/src/agatethread/control/_member_changes.py
+++ b/src/agatethread/control/_member_changes.py
@@ -107,6 +107,7 @@
         or _reduce_voters(members, voters, departed, wanted_voter_count, leader)
         or _begin_replacement(members, voters, departed, ready)
         or _promote_learner(members, voters, ready, wanted_voter_count)
+        or _balance_domains(members, voters, ready, leader)
         or _mark_leaving(members, requests.leaving_names)
         or _remove_silent_learner(members, progress)
     )
@@ -261,9 +262,33 @@
 ) -> Members | None:
     if not departed or not ready:
         return None
-    outgoing = departed[0]
     staying = [voter for voter in voters if voter not in departed]
-    incoming = _select_learner(staying, ready)
+    return _replace_voter(members, departed[0], _select_learner(staying, ready))
+
+
+def _balance_domains(
+    members: Members,
+    voters: list[ControlMember],
+    ready: list[ControlMember],
+    leader: str,
+) -> Members | None:
+    # Else the loss of one failure domain could take a majority of the voters.
+    counts = _count_voters_by_domain(voters)
+    others = [voter for voter in voters if voter.name != leader]
+    if not ready or not others:
+        return None
+    outgoing = max(others, key=lambda voter: (counts[voter.failure_domain], voter.name))
+    incoming = _select_learner(voters, ready)
+    incoming_count = counts.get(incoming.failure_domain, 0)
+    if counts[outgoing.failure_domain] - incoming_count < 2:
+        return None
+    return _replace_voter(members, outgoing, incoming)
+
+
+def _replace_voter(
+    members: Members, outgoing: ControlMember, incoming: ControlMember
+) -> Members:
+    """Return the members with both sets of voters, the old and the new one."""
     return _replace_members(
         members,
         lambda member: member.name not in (outgoing.name, incoming.name),
--- a/tests/control/test_member_changes.py
+++ b/tests/control/test_member_changes.py
@@ -203,6 +203,26 @@
         found_names = self.names_after_changes(three_voters(*learners), target=5)
         self.assertEqual(found_names, (["a", "b", "c", "d", "e"], ["f"]))
 
+    def test_spreads_voters_over_domains_again(self):
+        """Guards against a failure domain that keeps a majority of the voters."""
+        current = make_members(
+            make_member("a"),
+            make_member("b"),
+            make_member("d", domain="b"),
+            make_member("c", voter=False),
+        )
+        found_names = self.names_after_changes(current)
+        self.assertEqual(found_names, (["a", "b", "c"], ["d"]))
+
+    def test_keeps_voters_that_are_spread(self):
+        """Learners of domains with as many voters or one more are not swapped in."""
+        learners = [
+            make_member(f"{name}2", voter=False, target=f"{name}2") for name in "abc"
+        ]
+        learners.append(make_member("d", voter=False))
+        found_names = self.names_after_changes(three_voters(*learners))
+        self.assertEqual(found_names[0], ["a", "b", "c"])
+
     def test_avoids_even_number_of_voters(self):
         """Of four instances three vote, since four tolerate no more losses."""
         found_names = self.names_after_changes(
--- a/tests/control/test_member_replacement.py
+++ b/tests/control/test_member_replacement.py
@@ -128,6 +128,26 @@
         cases += [(True, 0.0), (True, CATCHUP_S - ELECTION_S - CHANGE_S)]
         self.check_all(make_scenario, cases)
 
+    def test_return_after_the_vote_was_handed_over(self):
+        """Guards against a stopped instance that returns with its disk and votes."""
+
+        def make_scenario(leads, loses_disk):
+            async def scenario(world):
+                old = self.pick(world, leads)
+                await world.start_successor(old)
+                await asyncio.sleep(1.0)
+                await world.leave(old)
+                if loses_disk:
+                    world.lose_disk(old)
+                await world.start(old)
+                await asyncio.sleep(2.0)
+                await world.kill(old)
+
+            return scenario
+
+        cases = [(leads, lost) for leads in (False, True) for lost in (False, True)]
+        self.check_all(make_scenario, cases)
+
     def test_crash_of_successor_while_it_gets_the_vote(self):
         """Guards against a replacement that needs an instance lost in the middle."""
 
