--- a/src/agatethread/registry/_transport.py
+++ b/src/agatethread/registry/_transport.py
@@ -12,6 +12,7 @@
 from agatethread.observability import Counters
 from agatethread.registry._traffic import TrafficCounter, name_purpose
 from agatethread.sockets import (
+    MAX_RECEIVE_BYTES,
     close_socket,
     make_reader,
     make_sender,
@@ -89,9 +90,11 @@
             self._traffic.store_receiver_kinds(message, sender)
             handler(message, sender)
 
-        start_reading(
-            self._socket, make_reader(self._socket, on_datagram, self._counters)
+        # The lists of some messages grow with the fleet.
+        reader = make_reader(
+            self._socket, on_datagram, self._counters, MAX_RECEIVE_BYTES
         )
+        start_reading(self._socket, reader)
 
     def send(self, message: RegistryMessage, address: bytes) -> None:
         """Send a message.
--- a/src/agatethread/sockets/__init__.py
+++ b/src/agatethread/sockets/__init__.py
@@ -2,6 +2,7 @@
 
 from agatethread.sockets._connections import open_and_close
 from agatethread.sockets._datagrams import (
+    MAX_RECEIVE_BYTES,
     DatagramHandler,
     close_socket,
     make_reader,
@@ -11,6 +12,7 @@
 )
 
 __all__ = [
+    "MAX_RECEIVE_BYTES",
     "DatagramHandler",
     "close_socket",
     "make_reader",
--- a/src/agatethread/sockets/_datagrams.py
+++ b/src/agatethread/sockets/_datagrams.py
@@ -11,8 +11,11 @@
 #: Limit of datagrams read before other tasks of the loop run.
 BATCH_COUNT = 64
 _BUFFER_BYTES = 4 << 20
-#: Above the datagram size limits, so that oversized datagrams are rejected as such.
+#: Above the size limits of callers' and peers' datagrams, so that oversized datagrams
+#: are rejected as such.
 _RECEIVE_BYTES = 2_048
+#: Any datagram.
+MAX_RECEIVE_BYTES = 65_535
 
 DatagramHandler = Callable[[bytes, tuple[str, int]], None]
 
@@ -46,7 +49,10 @@
 
 
 def make_reader(
-    sock: socket.socket, handler: DatagramHandler, counters: Counters
+    sock: socket.socket,
+    handler: DatagramHandler,
+    counters: Counters,
+    receive_bytes: int = _RECEIVE_BYTES,
 ) -> Callable[[], None]:
     """Return a function that reads the datagrams waiting at a socket.
 
@@ -58,6 +64,8 @@
         Called with each datagram and its source address.
     counters : Counters
         Counts datagrams that the handler rejects, by reason.
+    receive_bytes : int, optional
+        Bytes of a datagram that are read; the rest is lost.
 
     Returns
     -------
@@ -69,7 +77,7 @@
     def read_batch() -> None:
         for _ in range(BATCH_COUNT):
             try:
-                data, source = receive(_RECEIVE_BYTES)
+                data, source = receive(receive_bytes)
             except (BlockingIOError, ConnectionError):
                 # Ends the batch; the event loop calls again while datagrams wait.
                 return
