--- a/src/agatethread/settings/_document.py
+++ b/src/agatethread/settings/_document.py
@@ -2,9 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from agatethread.exceptions import DocumentError
+from agatethread.exceptions import DocumentError, FieldError
 from agatethread.settings._checking import parse_data_class
 
+#: Far above a document with a weight for each failure domain. Bounds the time that the
+#: slow parser of JSON with comments takes.
+MAX_DOCUMENT_CHARS = 16_384
+
 
 def _bounded(default: float, minimum: float, maximum: float):
     bounds = {"minimum": minimum, "maximum": maximum}
@@ -53,6 +57,10 @@
     Raises
     ------
     DocumentError
-        With a `FieldError` for each fault.
+        With a `FieldError` for each of the first faults.
     """
+    if len(text) > MAX_DOCUMENT_CHARS:
+        expected = f"at most {MAX_DOCUMENT_CHARS} characters"
+        fault = FieldError(source, "(whole text)", f"{len(text)} characters", expected)
+        raise DocumentError(f"{source} is too long", [fault])
     return parse_data_class(source, text, ServiceDocument, DocumentError)
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -1,4 +1,5 @@
 import json
+import time
 import unittest
 
 from hypothesis import given
@@ -83,6 +84,15 @@
 
 
 class TestParseDocument(unittest.TestCase):
+    def test_refuses_long_document_before_it_is_parsed(self):
+        """Guards against a document that holds a control instance for seconds."""
+        text = '{service: "tab", version: 1, note: "' + "x" * 262_144 + '"}'
+        started_s = time.process_time()
+        with self.assertRaises(DocumentError) as caught:
+            parse_document("tab", text)
+        self.assertLess(time.process_time() - started_s, 0.3)
+        self.assertIn("at most 16384", str(caught.exception.exceptions[0]))
+
     def test_reports_range_and_unknown_field(self):
         """A version below 1 and an unknown field are both reported."""
         with self.assertRaises(DocumentError) as caught:
