--- a/src/agatethread/control/_membership.py
+++ b/src/agatethread/control/_membership.py
@@ -15,6 +15,7 @@
 from agatethread.control._members import find_member
 from agatethread.control._raft import RaftNode
 from agatethread.control._roles import PeerCalls, Role
+from agatethread.control._routing_settings import RoutingControlSettings
 from agatethread.exceptions import AgatethreadError, UnavailableError
 from agatethread.observability import Event, make_logger
 from agatethread.wire.control_pb2 import (
@@ -159,13 +160,20 @@
         bool
             Whether the leader has replied that the member may stop.
         """
-        node = self._node
-        node.is_leaving = True
-        deadline_s = self._now_s() + timeout_s
+        self._node.is_leaving = True
+        started_s = self._now_s()
+        is_done = await self._leave_until(started_s + timeout_s)
+        log.info(
+            Event.VOTE_HANDED_OVER if is_done else Event.VOTE_NOT_HANDED_OVER,
+            waited_s=round(self._now_s() - started_s, 3),
+        )
+        return is_done
+
+    async def _leave_until(self, deadline_s: float) -> bool:
         while self._now_s() < deadline_s:
             if await self._announce_leaving():
                 return True
-            if node.leader_silence_s > _JOIN_AFTER_SILENCE_S:
+            if self._node.leader_silence_s > _JOIN_AFTER_SILENCE_S:
                 return False  # nobody leads who could change the members
             await asyncio.sleep(_LEAVE_INTERVAL_S)
         return False
@@ -281,3 +289,42 @@
             self._is_changing = False
         # A replacement has two steps; the second one should not wait for the timer.
         self.start_next_change()
+
+
+def make_membership_manager(
+    settings: RoutingControlSettings,
+    node: RaftNode,
+    connect: Callable[[str], PeerCalls],
+    list_targets: Callable[[], list[str]],
+    now_s: Callable[[], float],
+    spawn: Spawn,
+) -> MembershipManager:
+    """Return the membership manager of a control instance.
+
+    Parameters
+    ----------
+    settings : RoutingControlSettings
+        Settings of the instance.
+    node, connect, list_targets, now_s, spawn
+        As for `MembershipManager`.
+
+    Returns
+    -------
+    MembershipManager
+        The manager.
+    """
+    address = ControlMember(
+        target=settings.target,
+        api=settings.api,
+        failure_domain=settings.failure_domain,
+    )
+    return MembershipManager(
+        node,
+        address,
+        settings.voter_count,
+        settings.voter_timeout_s,
+        list_targets,
+        connect,
+        now_s,
+        spawn,
+    )
--- a/src/agatethread/control/_routing_control.py
+++ b/src/agatethread/control/_routing_control.py
@@ -14,7 +14,10 @@
 
 from agatethread.control._hints import HintSaver
 from agatethread.control._log_opening import load_log_port, open_log, report_opened
-from agatethread.control._membership import MembershipManager
+from agatethread.control._membership import (
+    MembershipManager,
+    make_membership_manager,
+)
 from agatethread.control._orders import OperatorRequests
 from agatethread.control._raft import RaftNode
 from agatethread.control._roles import Role
@@ -42,7 +45,6 @@
 from agatethread.settings import format_address, listen_address, parse_address
 from agatethread.timing import TimerService
 from agatethread.wire import pack_address, unpack_address
-from agatethread.wire.control_pb2 import ControlMember
 from agatethread.wire.registry_pb2 import BackendRun, RegistryMessage, RoutingTable
 
 if TYPE_CHECKING:
@@ -218,7 +220,14 @@
             await node.stop()
             return
         self._log_port = port = make_log_port(self.settings)
-        self._membership = self._make_membership(node, port)
+        self._membership = make_membership_manager(
+            self.settings,
+            node,
+            port.connect,
+            self._list_log_targets,
+            self.timers.now_s,
+            self.add_future,
+        )
         target = listen_address(self.settings.target, self.settings.listen_host)
         membership = self._membership
         await port.serve(node, membership.on_join, membership.on_leave, target)
@@ -236,26 +245,9 @@
             connect=lambda member: self._log_port.connect(member.target),
         )
 
-    def _make_membership(self, node: RaftNode, port: "LogPort") -> MembershipManager:
-        settings = self.settings
-        address = ControlMember(
-            target=settings.target,
-            api=settings.api,
-            failure_domain=settings.failure_domain,
-        )
-        return MembershipManager(
-            node,
-            address,
-            settings.voter_count,
-            settings.voter_timeout_s,
-            lambda: [
-                self._get_log_target(link.address)
-                for link in self.subscription.reachable_links()
-            ],
-            port.connect,
-            self.timers.now_s,
-            self.add_future,
-        )
+    def _list_log_targets(self) -> list[str]:
+        links = self.subscription.reachable_links()
+        return [self._get_log_target(link.address) for link in links]
 
     def _manage_members(self) -> None:
         if self._membership is not None and self.node is not None:
@@ -269,14 +261,8 @@
         """
         leads = self.node is not None and self.node.role is Role.LEADER
         log.info(Event.LEAVING, leads=leads)
-        if self._membership is None or self.node is None:
-            return
-        started_s = self.timers.now_s()
-        is_done = await self._membership.leave(self.settings.handover_timeout_s)
-        log.info(
-            Event.VOTE_HANDED_OVER if is_done else Event.VOTE_NOT_HANDED_OVER,
-            waited_s=round(self.timers.now_s() - started_s, 3),
-        )
+        if self._membership is not None:
+            await self._membership.leave(self.settings.handover_timeout_s)
 
     async def on_stop(self) -> None:
         """Close hints, Raft server and registry; the Raft member is stopped next."""
--- a/tests/platform/test_body_costs.py
+++ b/tests/platform/test_body_costs.py
@@ -6,9 +6,11 @@
 
 from agatethread_platform.http import MAX_BODY_BYTES
 from agatethread_platform.json_bodies import (
-    MAX_REPORT_BYTES,
     decode_configuration,
     decode_configuration_in_steps,
+)
+from agatethread_platform.report_bodies import (
+    MAX_REPORT_BYTES,
     decode_report,
     decode_run_end,
 )
--- a/tests/platform/test_roles.py
+++ b/tests/platform/test_roles.py
@@ -12,8 +12,9 @@
 from agatethread_platform.settings import PlatformSettings
 
 from tests.fakes import free_port, own_host
-from tests.platform.test_json_bodies import CONFIGURATION, REPORT, with_value
+from tests.platform.test_json_bodies import CONFIGURATION, with_value
 from tests.platform.test_packets import SYN, datagram
+from tests.platform.test_report_bodies import REPORT
 
 #: Two addresses, because all processes serve metrics at the same port.
 HOST, ENTRY_HOST = own_host(1), own_host(2)
