--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -20,6 +20,11 @@
 _INTERPRETER_START_S = 0.3
 GRACE_S = 6.0
 REPORT_INTERVAL_S = 0.5
+#: Time after its start from which an instance bears the loss of another one.
+CATCHUP_S = 4.0
+#: Resident memory of a process, the least limit of the deployments.
+_MAX_MEMORY_MB = {"control": 256, "entry": 120}
+_MEMORY_INTERVAL_S = 0.2
 
 
 @dataclass
@@ -45,6 +50,11 @@
         """Return the name of the instance."""
         return f"{self.role}-{self.number}"
 
+    @property
+    def age_s(self) -> float:
+        """Return the time since the last start of its process."""
+        return time.monotonic() - self.started_s
+
 
 class Fleet:
     """Runs the instances of a deployment as processes.
@@ -85,6 +95,48 @@
         }
         self.seeds = self.machines_of_role("control")[:3]
         self.unexpected_exits: list[str] = []
+        #: Largest resident memory of a process of each role.
+        self.peak_memory_mb: dict[str, int] = {}
+
+    def add_control(self, failure_domain: str) -> Machine:
+        """Return a new control instance with an empty disk; it is not started."""
+        number = max(self.machines) + 1
+        machine = Machine(
+            number, "control", failure_domain, self.folder / str(number), has_run=True
+        )
+        self.machines[number] = machine
+        return machine
+
+    def remove(self, machine: Machine) -> None:
+        """Remove an instance for good; its process has ended."""
+        del self.machines[machine.number]
+        self.seeds = self.machines_of_role("control")[:3]
+
+    async def wait_until_down(self, machine: Machine, timeout_s: float) -> None:
+        """Wait until the process of a machine has ended; kill it after a timeout."""
+        deadline_s = time.monotonic() + timeout_s
+        while machine.process is not None:
+            if time.monotonic() > deadline_s:
+                self.send_signal(machine, signal.SIGKILL)
+            await asyncio.sleep(0.02)
+
+    async def watch_memory(self) -> None:
+        """Record the largest resident memory of the processes."""
+        while True:
+            for machine in self.machines.values():
+                pid = self.find_pid(machine.number)
+                used_mb = _read_resident_mb(pid) if pid is not None else 0
+                peak_mb = self.peak_memory_mb.get(machine.role, 0)
+                self.peak_memory_mb[machine.role] = max(peak_mb, used_mb)
+            await asyncio.sleep(_MEMORY_INTERVAL_S)
+
+    def memory_excesses(self) -> list[str]:
+        """Return a line for each role whose processes exceeded their memory."""
+        return [
+            f"{role}: {peak_mb} MB, limit {_MAX_MEMORY_MB[role]}"
+            for role, peak_mb in self.peak_memory_mb.items()
+            if peak_mb > _MAX_MEMORY_MB[role]
+        ]
 
     def machines_of_role(self, role: str) -> list[Machine]:
         """Return the machines of a role."""
@@ -118,6 +170,7 @@
             "invariants=pressure,health",
             f"fault_tolerance.machines={self._losses_borne}",
             f"bounds.grace_s={GRACE_S}",
+            f"bounds.catchup_s={CATCHUP_S}",
             f"listen_addrs.control_plane={host}:{addresses.api}",
             f"listen_addrs.datagram_addr={host}:{addresses.datagrams}",
             f"listen_addrs.readiness_addr={host}:{addresses.readiness}",
@@ -224,8 +277,7 @@
         """Kill a process, delete its data and restart it."""
         machine.should_run = False
         self.send_signal(machine, signal.SIGKILL)
-        while machine.process is not None:
-            await asyncio.sleep(0.02)
+        await self.wait_until_down(machine, GRACE_S)
         shutil.rmtree(machine.folder / "disk", ignore_errors=True)
         machine.should_run = True
         self.start(machine)
@@ -238,3 +290,11 @@
                 machine.process.send_signal(signal.SIGCONT)
                 machine.process.kill()
                 machine.process.wait()
+
+
+def _read_resident_mb(pid: int) -> int:
+    try:
+        pages = Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()[1]
+    except (OSError, IndexError):
+        return 0  # the process has just ended
+    return int(pages) * resource.getpagesize() >> 20
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -18,6 +18,8 @@
     ("198.18.0.1", 8_080): "beta",
 }
 _EXTRA_HOST = "198.18.7.1"
+#: Makes a body of about 256 KiB.
+_FILLING_HOST, _FILLING_COUNT = "198.18.8.1", 2_000
 
 Target = tuple[int, int]
 
@@ -77,6 +79,12 @@
         body = self._make_body(version)
         return version if await self._send_change(version, body) else 0
 
+    async def change_much(self) -> None:
+        """Send a small new version and one of the largest size, one after the other."""
+        await self.change()
+        version = self._draw_version()
+        await self._send_change(version, self._make_body(version, _FILLING_COUNT))
+
     async def race(self) -> None:
         """Send two bodies with the same version concurrently."""
         version = self._draw_version()
@@ -98,12 +106,17 @@
         self._next_version += self._random.choice((1, 1, 2, 5))
         return version
 
-    def _make_body(self, version: int) -> bytes:
+    def _make_body(self, version: int, filling_count: int = 0) -> bytes:
         routes = [
             self._route(host, port, service)
             for (host, port), service in BASE_ROUTES.items()
         ]
         routes.append(self._route(_EXTRA_HOST, self.extra_target(version)[1], "alpha"))
+        # Routes that nobody uses; they make the body large.
+        routes += [
+            self._route(_FILLING_HOST, 1 + number, "alpha")
+            for number in range(filling_count)
+        ]
         services = [{"name": name} for name in ("alpha", "beta")]
         body = encode_json({"version": version, "routes": routes, "services": services})
         self._bodies.setdefault(version, set()).add(body)
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 
 from soak.addresses import claim_addresses
 from soak.backend import BackendServer
+from soak.bodies import InvalidBodies
 from soak.callers import Caller, Router, Tally
 from soak.faults import FaultInjector
 from soak.fleet import Fleet
@@ -15,6 +16,7 @@
 from soak.open_flows import OpenFlows
 from soak.operator import Operator
 from soak.promise_monitor import PromiseMonitor
+from soak.replacements import ReplacementSeries
 
 #: Time from the last fault of a round to the checks: an instance with a lost disk can
 #: vote again by then, and all backend servers have reported again.
@@ -34,6 +36,8 @@
     server_count: int = 6
     caller_count: int = 12
     losses_borne: int = 1
+    #: Whether series of replaced control instances follow some rounds.
+    has_replacements: bool = True
 
 
 @dataclass
@@ -48,6 +52,8 @@
     calm_share: float = 1.0
     changes: int = 0
     reads: int = 0
+    invalid_bodies: int = 0
+    peak_memory_mb: dict[str, int] = field(default_factory=dict)
     faults: dict[str, int] = field(default_factory=dict)
     breaches: list[dict] = field(default_factory=list)
 
@@ -117,6 +123,10 @@
         self.faults = FaultInjector(
             self.fleet, self.mesh, self.servers, self.operator, self.promises, seed
         )
+        self.replacements = ReplacementSeries(
+            self.fleet, self.mesh, self.promises, seed
+        )
+        self.bodies = InvalidBodies(self._control_addresses, self.promises, seed)
         self._tasks: list[asyncio.Task] = []
 
     def _control_addresses(self) -> list[str]:
@@ -158,6 +168,7 @@
         for machine in self.fleet.machines.values():
             self.fleet.start(machine)
         self._start_task(self.fleet.supervise())
+        self._start_task(self.fleet.watch_memory())
         self._start_task(self.router.run())
         if not await self.operator.change():
             self.promises.record_breach(
@@ -188,11 +199,25 @@
             self.faults.release_servers(),
             self._send_changes(),
             self.faults.send_invalid_reports(),
+            self.bodies.send_some(),
         )
         await asyncio.sleep(_RECOVERY_S)
         # Readmitted after the check, because late flows are breaches only in calm.
         await self._check_calm()
         await self.operator.readmit(domain)
+        if self._size.has_replacements and self.replacements.is_due():
+            await self._run_replacements()
+
+    async def _run_replacements(self) -> None:
+        """Replace control instances among changes and invalid bodies."""
+        replacing = asyncio.ensure_future(
+            self.replacements.run(self._size.losses_borne)
+        )
+        while not replacing.done():
+            await asyncio.gather(self.operator.change_much(), self.bodies.send_some())
+        await replacing
+        await asyncio.sleep(_RECOVERY_S)
+        await self._check_calm()
 
     async def _run_fault_series(self) -> None:
         for _ in range(self._random.choice((1, 2, 3))):
@@ -255,7 +280,12 @@
         report.served_share = round(share, 4)
         report.changes = self.operator.change_count
         report.reads = self.operator.read_count
-        report.faults = dict(sorted(self.faults.counts.items()))
+        report.invalid_bodies = self.bodies.count
+        report.peak_memory_mb = self.fleet.peak_memory_mb
+        for detail in self.fleet.memory_excesses():
+            self.promises.record_breach("a process keeps to its memory", detail)
+        counts = self.faults.counts | self.replacements.counts
+        report.faults = dict(sorted(counts.items()))
         for detail in self.fleet.unexpected_exits:
             self.promises.record_breach("no process ends by itself", detail)
         report.breaches = [asdict(breach) for breach in self.promises.breaches]
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -75,7 +75,13 @@
     body: bytes = b""
 
 
-async def call(address: str, method: str, path: str, body: bytes = b"") -> Reply:
+async def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    timeout_s: float = _CALL_TIMEOUT_S,
+) -> Reply:
     """Send a call, following redirects.
 
     Parameters
@@ -86,6 +92,8 @@
         Method and path of the call.
     body : bytes, optional
         JSON body.
+    timeout_s : float, optional
+        Timeout of each call.
 
     Returns
     -------
@@ -95,7 +103,7 @@
     for _ in range(_MAX_REDIRECTS + 1):
         try:
             coroutine = _call_once(address, method, path, body)
-            status, headers, answer = await asyncio.wait_for(coroutine, _CALL_TIMEOUT_S)
+            status, headers, answer = await asyncio.wait_for(coroutine, timeout_s)
         except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
             return Reply(0)
         if status != 307:
