--- a/src/agatethread/control/_membership.py
+++ b/src/agatethread/control/_membership.py
@@ -160,7 +160,7 @@
         bool
             Whether the leader has replied that the member may stop.
         """
-        self._node.is_leaving = True
+        self._node.prepare_to_stop()
         started_s = self._now_s()
         is_done = await self._leave_until(started_s + timeout_s)
         log.info(
--- a/tests/control/test_disk_faults.py
+++ b/tests/control/test_disk_faults.py
@@ -139,7 +139,9 @@
 
         node = self.make_node({"b": PeerCalls(vote, vote, vote)})
         before = sorted(self.folder.iterdir())
-        granted = await node._request_vote(node._get_peer("b"), VoteRequest(term=1))
+        granted = await node.elections.request_vote(
+            node.member_state.get_peer("b"), VoteRequest(term=1)
+        )
         self.assertFalse(granted)
         self.assertEqual(node.term, 0)
         self.assertEqual(sorted(self.folder.iterdir()), before)
@@ -152,7 +154,9 @@
 
         node = self.make_node({"b": PeerCalls(vote, vote, vote)})
         with failing("fsync", 1, 1), TestHandler() as handler:
-            await node._request_vote(node._get_peer("b"), VoteRequest(term=1))
+            await node.elections.request_vote(
+                node.member_state.get_peer("b"), VoteRequest(term=1)
+            )
         self.assertTrue(handler.has_error(Event.TERM_NOT_SAVED))
         self.assertEqual(node.term, 0)
 
@@ -160,11 +164,11 @@
         """It would refuse changes for ever, with no entry of its own term."""
         node = self.make_node()
         self.addAsyncCleanup(node.stop)
-        node._vote_state.enable_voting()
+        node.member_state.vote_state.enable_voting()
         with failing("fsync", 3, 1), self.assertRaises(DiskFullError):
-            await node._run_election()
+            await node.run_election()
         self.assertIsNot(node.role, Role.LEADER)
-        await node._run_election()
+        await node.run_election()
         self.assertIs(node.role, Role.LEADER)
         self.assertTrue(node.has_committed_in_term)
 
@@ -172,9 +176,9 @@
         """A caller that is sent to the leader must not come back to this member."""
         node = self.make_node()
         self.addAsyncCleanup(node.stop)
-        await node._run_election()
-        confirmation = node._confirmations.start()
-        node._become_follower("")
+        await node.run_election()
+        confirmation = node.member_state.confirmations.start()
+        node.member_state.become_follower("")
         self.assertEqual(confirmation.exception().leader, "")
 
     async def test_log_that_cannot_be_read_is_opened_later(self):
--- a/tests/control/test_raft.py
+++ b/tests/control/test_raft.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from agatethread.control import LogStorage, PeerCalls, RaftNode, Role
+from agatethread.control._member_state import MemberState
 from agatethread.control._members import has_majority
 from agatethread.control._vote_state import VoteState
 from agatethread.exceptions import DiskFullError, UnavailableError
@@ -234,7 +235,7 @@
             world.network.cut = {frozenset((voter, candidate_name))}
             await asyncio.sleep(2)
             node = world.nodes[voter]
-            await node._run_election()
+            await node.run_election()
             request = VoteRequest(
                 term=node.term + 1,
                 candidate=candidate_name,
@@ -261,7 +262,7 @@
             peers = {name: connect(name) for name in names[1:]}
             storage = LogStorage(folder)
             node = RaftNode(names[0], ControlSettings("x"), storage, peers, lambda: 0.0)
-            await node._run_election()
+            await node.run_election()
             storage.close()
 
         names = [f"control-{number}" for number in range(9)]
@@ -297,9 +298,9 @@
             VoteState, "enable_voting", lambda *_: None
         )
         plain_majority = mock.patch.object(
-            RaftNode,
-            "_has_enough_votes",
-            lambda node, names: has_majority(node.members, names),
+            MemberState,
+            "has_votes_of",
+            lambda state, names: has_majority(state.members, names),
         )
         with unchecked_votes, unchanged_vote_right, plain_majority:
             self.assertTrue(self.run_world(scenario))
