--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -93,6 +93,8 @@
             number: Machine(number, role, f"domain-{number % 3}", folder / str(number))
             for number, role in enumerate(roles, 1)
         }
+        #: Numbers are not used again: their addresses stay open.
+        self._last_number = max(self.machines)
         self.seeds = self.machines_of_role("control")[:3]
         self.unexpected_exits: list[str] = []
         #: Largest resident memory of a process of each role.
@@ -100,7 +102,8 @@
 
     def add_control(self, failure_domain: str) -> Machine:
         """Return a new control instance with an empty disk; it is not started."""
-        number = max(self.machines) + 1
+        self._last_number += 1
+        number = self._last_number
         machine = Machine(
             number, "control", failure_domain, self.folder / str(number), has_run=True
         )
--- a/tests/soak/test_bodies.py
+++ b/tests/soak/test_bodies.py
@@ -45,6 +45,17 @@
 
 
 class TestFleet(unittest.IsolatedAsyncioTestCase):
+    def test_number_of_a_removed_instance_is_not_used_again(self):
+        """The proxies still listen at the addresses of a removed instance."""
+        addresses = claim_addresses(8)
+        self.addCleanup(addresses.claim.close)
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = Fleet(Path(folder), addresses, 1, 1, 0)
+            first = fleet.add_control("domain-1")
+            fleet.remove(first)
+            second = fleet.add_control("domain-1")
+        self.assertNotEqual(first.number, second.number)
+
     async def test_memory_over_the_limit_is_reported(self):
         """The memory of a running process is read and compared."""
         addresses = claim_addresses(9)
