--- a/tests/control/test_member_replacement.py
+++ b/tests/control/test_member_replacement.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from agatethread.control import Role
+from agatethread.settings import ControlSettings
 from benchmarks.member_world import (
     CATCHUP_S,
     VOTER_TIMEOUT_S,
@@ -148,6 +149,22 @@
         cases = [(leads, lost) for leads in (False, True) for lost in (False, True)]
         self.check_all(make_scenario, cases)
 
+    def test_silence_of_a_crashed_leader_counts_from_its_last_message(self):
+        """Guards against an election that is added to the time of a replacement."""
+
+        async def scenario(world):
+            old = world.nodes[self.leader(world)].name
+            await world.replace(self.leader(world))
+            while not self.leader(world):
+                await asyncio.sleep(0.02)
+            # A member stands for election after this timeout.
+            timeout_s = ControlSettings("").election_timeout_s
+            leader = world.nodes[self.leader(world)]
+            self.assertGreaterEqual(leader.silence_s(old), timeout_s)
+
+        for seed in SEEDS:
+            self.play(scenario, seed)
+
     def test_crash_of_successor_while_it_gets_the_vote(self):
         """Guards against a replacement that needs an instance lost in the middle."""
 
--- a/tests/platform/test_body_costs.py
+++ b/tests/platform/test_body_costs.py
@@ -19,8 +19,11 @@
 
 from agatethread.exceptions import DocumentError, FieldError
 from agatethread.routing import check_document, encode_table
-from agatethread.settings import MAX_FAULTS
 
+#: Faults that an answer lists.
+MAX_LISTED_FAULTS = 10
+#: The largest body of the deployments, which holds fewer values than a table may.
+BODY_BYTES = 262_144
 #: Half of the time after which control instances replace a leader that is silent.
 MAX_STEP_S = 0.3
 #: Share of a control process's memory limit that one body may take beside its own.
@@ -87,15 +90,27 @@
         longest_s, error = longest_step_s(body)
         self.assertLess(longest_s, MAX_STEP_S)
         if error is not None:
-            self.assertLessEqual(len(error.exceptions), MAX_FAULTS)
+            self.assertLessEqual(len(error.exceptions), MAX_LISTED_FAULTS)
             self.assertLess(max(len(str(each)) for each in error.exceptions), 2_000)
         return error
 
     def test_invalid_configuration_with_many_faults(self):
         """Guards against a body whose faults take seconds of the event loop."""
-        for item in ITEMS[:9]:
-            with self.subTest(item=item):
-                self.assertIsNotNone(self.check(fill(item, WRAPPERS[0])))
+        for size in (BODY_BYTES, MAX_BODY_BYTES):
+            for item in ITEMS[:13]:
+                with self.subTest(item=item, size=size):
+                    error = self.check(fill(item, WRAPPERS[0], size))
+                    self.assertIsNotNone(error)
+
+    def test_large_configuration_is_decoded_in_many_steps(self):
+        """Guards against a valid table that holds the event loop as a whole."""
+        steps = decode_configuration_in_steps(fill(ITEMS[10], WRAPPERS[0]))
+        self.assertGreater(sum(1 for _ in steps), 100)
+
+    def test_too_many_values(self):
+        """Guards against bodies of very short values that pass for their size."""
+        error = self.check(fill("0", WRAPPERS[5]))
+        self.assertIn("at most 200000 values", str(error.exceptions[0]))
 
     def test_nested_and_long_values(self):
         """Guards against values whose depth or length costs more than their size."""
@@ -124,6 +139,8 @@
             ("[]", WRAPPERS[5]),
             ('{"":0}', WRAPPERS[5]),
             (ITEMS[10], WRAPPERS[0]),
+            ("{}", WRAPPERS[0], BODY_BYTES),
+            ("1", WRAPPERS[0], BODY_BYTES),
         ):
             with self.subTest(shape=shape):
                 body = fill(*shape)
@@ -157,7 +174,7 @@
                             decode("i-1", body)
                         except (DocumentError, FieldError) as error:
                             faults = getattr(error, "exceptions", ())
-                            self.assertLessEqual(len(faults), MAX_FAULTS)
+                            self.assertLessEqual(len(faults), MAX_LISTED_FAULTS)
 
     def test_values_that_no_message_can_hold(self):
         """Guards against a failing handler for numbers and names of other sizes."""
