--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -38,6 +38,12 @@
     "flow_lifetime_s": 60,
 }
 HEARTBEAT_INTERVAL_MS = 770
+#: Pauses of a caller between two calls; they increase, as the pages ask.
+_BACKOFF_S = (0.1, 0.2, 0.4, 0.8, 1.0)
+#: Answers that end a call of the operator at once; other 4xx end it at the third.
+_FINAL_STATUSES = frozenset({400, 409, 412, 413, 422})
+#: Answers after which the operator goes on to another node, like after a 5xx.
+_RETRY_STATUSES = frozenset({0, 408, 429})
 _CHUNK_BYTES = 65_536
 
 
@@ -443,6 +449,21 @@
     return json.dumps(configuration).encode()
 
 
+def backoff_s(turn):
+    """Return the pause of a caller after its call number `turn`, from 0 on."""
+    return _BACKOFF_S[min(turn, len(_BACKOFF_S) - 1)]
+
+
+def ends_call(statuses):
+    """Return whether the operator sends a call no more, by the answers so far."""
+    status = statuses[-1]
+    if status in _RETRY_STATUSES or status >= 500:
+        return False
+    refusals = [each for each in statuses if 400 <= each < 500]
+    others = [each for each in refusals if each not in _RETRY_STATUSES]
+    return status < 300 or status in _FINAL_STATUSES or len(others) >= 3
+
+
 async def put_until_answered(fleet, record, version, body, limit_s):
     """Send a configuration to the nodes in turn until one acknowledges it.
 
@@ -464,14 +485,15 @@
     float or None
         Time until the acknowledgement; None if there was none.
     """
-    started_s, last_status, turn = time.monotonic(), None, 0
+    started_s, statuses = time.monotonic(), []
     while time.monotonic() - started_s < limit_s:
+        turn = len(statuses)
         machine = fleet.controls[turn % len(fleet.controls)]
         status, _ = await call(machine.api, "PUT", "/api/config", body)
-        if status != last_status:
+        if not statuses or status != statuses[-1]:
             record.write(f"operator: PUT version {version} at {machine.name}: {status}")
-        if status == 200:
-            return time.monotonic() - started_s
-        last_status, turn = status, turn + 1
-        await asyncio.sleep(0.1)
+        statuses.append(status)
+        if ends_call(statuses):
+            return time.monotonic() - started_s if status == 200 else None
+        await asyncio.sleep(backoff_s(turn))
     return None
