--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -45,6 +45,10 @@
 #: Answers after which the operator goes on to another node, like after a 5xx.
 _RETRY_STATUSES = frozenset({0, 408, 429})
 _CHUNK_BYTES = 65_536
+#: Port of the programs' own metrics, at each machine's address.
+_METRICS_PORT = 9464
+#: Port whose binding reserves a net for one run at a time.
+_CLAIM_PORT = 14_999
 
 
 class Record:
@@ -214,10 +218,22 @@
                 "server": first + 23,
             }
             hosts = [f"127.{self.net}.{part}.{n}" for part in (1, 2) for n in numbers]
-            ports = [first, first + 1, *self.ports.values()]
-            if all(_is_free(host, port) for host in hosts for port in ports):
+            ports = [first, first + 1, _METRICS_PORT, *self.ports.values()]
+            if self._claim_net() and all(
+                _is_free(host, port) for host in hosts for port in ports
+            ):
                 return
 
+    def _claim_net(self):
+        """Reserve the net; another run beside this one takes another net."""
+        self._claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            self._claim.bind((f"127.{self.net}.3.1", _CLAIM_PORT))
+        except OSError:
+            self._claim.close()
+            return False
+        return True
+
     @property
     def machines(self):
         """All machines."""
@@ -242,9 +258,9 @@
                 process.wait()
 
     def ended(self):
-        """Return the names of machines whose process has ended by itself."""
+        """Return the machines whose process has ended by itself, and their codes."""
         return [
-            machine.name
+            f"{machine.name} ({machine.process.returncode})"
             for machine in self.machines
             if machine.process is not None and machine.process.poll() is not None
         ]
